--- /dev/null
+++ b/demo/cluster_test.go
@@ -0,0 +1,70 @@
+package demo_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/bramleydoor/bramleydoor/demo"
+)
+
+// testTimeout only ends a test that hangs.
+const testTimeout = time.Minute
+
+func startTiny(c *qt.C) (context.Context, *demo.Cluster) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	c.Cleanup(cancel)
+	cluster := &demo.Cluster{Deployment: demo.Deployments["tiny"], Seed: 1}
+	c.Assert(cluster.Start(ctx), qt.IsNil)
+	c.Cleanup(cluster.Stop)
+	c.Assert(cluster.Ready(ctx), qt.IsNil)
+	return ctx, cluster
+}
+
+func connect(ctx context.Context, c *qt.C, cluster *demo.Cluster, vm int, options string) *pgx.Conn {
+	config, err := pgx.ParseConfig("postgres://clerk@" + cluster.VMs[vm].Address() + "/ledger1.db1?sslmode=disable")
+	c.Assert(err, qt.IsNil)
+	if options != "" {
+		config.RuntimeParams["options"] = options
+	}
+	conn, err := pgx.ConnectConfig(ctx, config)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close(ctx) })
+	return conn
+}
+
+func read(ctx context.Context, c *qt.C, conn *pgx.Conn, key string) string {
+	var value string
+	err := conn.QueryRow(ctx, "SELECT value FROM arrangement WHERE key = $1", key).Scan(&value)
+	c.Assert(err, qt.IsNil)
+	return value
+}
+
+// The whole path: write on one VM, read on another with and without a token,
+// lose the primary, and go on.
+func TestWholePath(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTiny(c)
+
+	writer := connect(ctx, c, cluster, 0, "")
+	_, err := writer.Exec(ctx, "INSERT INTO arrangement (key, value) VALUES ($1, $2)", "debtor1", "instalments")
+	c.Assert(err, qt.IsNil)
+	token := writer.PgConn().ParameterStatus("bramley.session")
+	c.Assert(token, qt.Not(qt.Equals), "")
+	c.Assert(read(ctx, c, writer, "debtor1"), qt.Equals, "instalments")
+
+	handed := connect(ctx, c, cluster, 1, "-c bramley.session="+token)
+	c.Assert(read(ctx, c, handed, "debtor1"), qt.Equals, "instalments")
+	roamed := connect(ctx, c, cluster, 2, "")
+	c.Assert(read(ctx, c, roamed, "debtor1"), qt.Equals, "instalments")
+
+	cluster.Groups["ledger1.db1"].Primary().Kill()
+	_, err = handed.Exec(ctx, "INSERT INTO arrangement (key, value) VALUES ($1, $2)", "debtor2", "paid")
+	c.Assert(err, qt.IsNil)
+	c.Assert(read(ctx, c, connect(ctx, c, cluster, 3, ""), "debtor1"), qt.Equals, "instalments")
+	c.Assert(read(ctx, c, connect(ctx, c, cluster, 4, ""), "debtor2"), qt.Equals, "paid")
+	c.Assert(cluster.Groups["ledger1.db1"].Breaches.Load(), qt.Equals, int64(0))
+}
--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,326 @@
+package entry
+
+import (
+	"context"
+	"regexp"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleydoor/bramleydoor/fault"
+	"github.com/bramleydoor/bramleydoor/holder"
+	"github.com/bramleydoor/bramleydoor/pool"
+	"github.com/bramleydoor/bramleydoor/posn"
+)
+
+// dispatch sends a request to a slot and its answer to the caller. An error of
+// type fault.Error is still to be answered; any other ends the session.
+func (session *session) dispatch(ctx context.Context, req *request) error {
+	ctx, cancel := context.WithTimeout(ctx, session.holder.Settings().Rule.Wait())
+	defer cancel()
+	session.setWait(cancel)
+	defer session.setWait(nil)
+	session.output.open()
+	defer session.output.close()
+	if session.pinned != nil {
+		return session.servePinned(ctx, req)
+	}
+	switch req.kind {
+	case kindCommit, kindRollback:
+		// Outside of a transaction these do nothing.
+		tag := firstWord(req.text)
+		session.answerBatch(req, tag)
+		if req.isSimple {
+			return session.answerTag(tag)
+		}
+		return session.answerReady()
+	case kindRead, kindBeginReadOnly, kindSet:
+		return session.serveRead(ctx, req)
+	case kindBegin:
+		if session.isReadOnly {
+			return session.serveRead(ctx, req)
+		}
+	case kindWrite:
+		if session.settings.isKeyArmed {
+			return session.serveKeyed(ctx, req)
+		}
+	}
+	return session.serveWrite(ctx, req)
+}
+
+func (session *session) setWait(cancel context.CancelFunc) {
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	session.stopWait = cancel
+}
+
+// serveRead tries replicas first. A read has no effects, so it may be repeated
+// as long as none of its answer is on the way.
+func (session *session) serveRead(ctx context.Context, req *request) error {
+	floor, err := session.readFloor(ctx)
+	if err != nil {
+		return err
+	}
+	failed := make(map[string]bool)
+	for {
+		read := holder.Read{Caller: session.user, Floor: floor, Staleness: session.settings.staleness, Failed: failed}
+		conn, choice, err := session.holder.Read(ctx, read)
+		if err != nil {
+			return err
+		}
+		err = session.attempt(ctx, conn, req, choice.Floor)
+		var lost *lostError
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, errRefusedWrite):
+			session.learnWrite(req.text)
+			session.holder.Stats.Route(routeRefused)
+			return session.serveWrite(ctx, req)
+		case errors.Is(err, errBehind):
+			session.holder.Stats.Retry(fault.ReasonStaleReplica)
+		case errors.As(err, &lost) || isRolledBack(err):
+			if session.output.isFlushed || ctx.Err() != nil || !session.holder.Retry(fault.ReasonUpstreamLost) {
+				return session.lostRead(err)
+			}
+		default:
+			return err
+		}
+		session.output.takeBack()
+		failed[choice.Slot] = true
+	}
+}
+
+func isRolledBack(err error) bool {
+	var failure *fault.Error
+	return errors.As(err, &failure) && failure.Reason == fault.ReasonRolledBack
+}
+
+func (session *session) lostRead(err error) error {
+	var failure *fault.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	failure = fault.Lost(fault.ReasonUpstreamLost, "the connection to the database was lost during a read", err)
+	failure.Code = fault.CodeConnection
+	return failure
+}
+
+// serveWrite sends a request to the primary. A primary that refuses because it
+// leads no longer has not run it, so it waits for the next one.
+func (session *session) serveWrite(ctx context.Context, req *request) error {
+	for {
+		conn, err := session.holder.Write(ctx, session.user)
+		if err != nil {
+			return err
+		}
+		err = session.attempt(ctx, conn, req, posn.Position{})
+		var lost *lostError
+		switch {
+		case errors.Is(err, errRefusedWrite):
+			if !session.holder.AwaitChange(ctx, fault.ReasonNoPrimary) {
+				return fault.Refuse(fault.CodeUnavailable, fault.ReasonNoPrimary, "no primary took the request within the deadline")
+			}
+			session.output.takeBack()
+		case errors.As(err, &lost):
+			return fault.Lost(fault.ReasonUpstreamLost, "the connection to the database was lost before the outcome was known", lost.cause)
+		default:
+			return err
+		}
+	}
+}
+
+// attempt runs a request on a fresh connection and answers it, or returns why
+// it didn't. The connection is given back or closed in each case.
+func (session *session) attempt(ctx context.Context, conn *pool.Conn, req *request, floor posn.Position) error {
+	if err := session.applySettings(conn); err != nil {
+		session.holder.Pool.Discard(conn)
+		return err
+	}
+	session.setActive(conn)
+	outcome, err := session.exchange(conn, req, floor)
+	session.setActive(nil)
+	if err != nil {
+		session.giveBack(conn, err)
+		return err
+	}
+	if req.kind == kindSet && !outcome.isError && isSessionSetting(req.text) {
+		if err := session.addUpstreamSetting(req.text); err != nil {
+			session.holder.Pool.Discard(conn)
+			return err
+		}
+	}
+	session.holder.Watch.Observe(conn.Slot, conn.Position)
+	if conn.Status != 'I' || !outcome.isReady {
+		session.pinned, session.pinnedFloor = conn, floor
+		return session.finishOpen(ctx, req)
+	}
+	position := conn.Position
+	session.holder.Pool.Release(conn)
+	return session.finish(ctx, position)
+}
+
+var notSessionSetting = regexp.MustCompile(`(?i)^SET\s+(LOCAL|TRANSACTION|CONSTRAINTS)\b`)
+
+func isSessionSetting(text string) bool { return !notSessionSetting.MatchString(skipBlanks(text)) }
+
+func (session *session) applySettings(conn *pool.Conn) error {
+	if len(session.upstreamSettings) == 0 {
+		return nil
+	}
+	if _, err := conn.Exec(strings.Join(session.upstreamSettings, ";")); err != nil {
+		return invalidUpstream(err)
+	}
+	return nil
+}
+
+func invalidUpstream(err error) error {
+	failure := fault.Refuse(fault.CodeInvalidSetting, fault.ReasonBadMessage, "the database refused a session setting")
+	failure.Cause = err
+	return failure
+}
+
+// giveBack returns a connection after a failed exchange. It is good only if the
+// exchange ended at ReadyForQuery.
+func (session *session) giveBack(conn *pool.Conn, err error) {
+	if errors.Is(err, errRefusedWrite) && conn.Status == 'I' {
+		session.holder.Pool.Release(conn)
+		return
+	}
+	session.holder.Pool.Discard(conn)
+}
+
+// servePinned continues a transaction.
+func (session *session) servePinned(ctx context.Context, req *request) error {
+	conn := session.pinned
+	if req.kind == kindCommit && session.settings.isKeyArmed && conn.Status == 'T' {
+		if err := session.recordKey(conn, "COMMIT"); err != nil {
+			return session.failPinned(err, req)
+		}
+	}
+	session.setActive(conn)
+	outcome, err := session.exchange(conn, req, session.pinnedFloor)
+	session.setActive(nil)
+	if err != nil {
+		return session.failPinned(err, req)
+	}
+	if req.kind == kindSet && !outcome.isError && isSessionSetting(req.text) {
+		if err := session.addUpstreamSetting(req.text); err != nil {
+			return session.failPinned(err, req)
+		}
+	}
+	session.holder.Watch.Observe(conn.Slot, conn.Position)
+	if conn.Status != 'I' || !outcome.isReady {
+		return session.finishOpen(ctx, req)
+	}
+	position := conn.Position
+	session.pinned = nil
+	session.endTransaction()
+	session.holder.Pool.Release(conn)
+	return session.finish(ctx, position)
+}
+
+// failPinned gives up a transaction with its connection. Without a COMMIT on
+// the way, the upstream rolls it back.
+//
+// Without a BEGIN, messages before a Sync are a transaction that the Sync
+// commits.
+func (session *session) failPinned(err error, req *request) error {
+	isCommit := req.mayCommit || session.pinned.Status == 'I' && req.hasSync
+	session.holder.Pool.Discard(session.pinned)
+	session.pinned = nil
+	var failure *fault.Error
+	if errors.As(err, &failure) {
+		session.breakTransaction(req)
+		return failure
+	}
+	var lost *lostError
+	if !errors.As(err, &lost) && !errors.Is(err, errBehind) && !errors.Is(err, errRefusedWrite) {
+		return err
+	}
+	if isCommit {
+		session.endTransaction()
+		return fault.Lost(fault.ReasonUpstreamLost, "the connection to the database was lost during the commit", err)
+	}
+	session.breakTransaction(req)
+	failure = fault.Refuse(fault.CodeConnection, fault.ReasonUpstreamLost, "the transaction was rolled back: its connection was lost")
+	failure.Cause = err
+	return failure
+}
+
+// breakTransaction leaves the caller in a failed transaction, so that its next
+// statements aren't taken for ones outside of it.
+func (session *session) breakTransaction(req *request) {
+	if req.kind == kindCommit || req.kind == kindRollback {
+		session.endTransaction()
+		return
+	}
+	session.isBroken = true
+	session.status = 'E'
+}
+
+// endTransaction restores what SET LOCAL changed and uses up the request key.
+func (session *session) endTransaction() {
+	session.status = 'I'
+	session.settings = session.outer
+	session.settings.isKeyArmed = false
+	session.outer.isKeyArmed = false
+}
+
+// finishOpen answers within a transaction. What it saw is provisional until the
+// commit, so nothing waits for acknowledgement here.
+func (session *session) finishOpen(ctx context.Context, req *request) error {
+	if session.status == 'I' && req.hasSync {
+		if err := session.checkKeyAtBegin(ctx); err != nil {
+			return session.failPinned(err, req)
+		}
+	}
+	if req.hasSync {
+		session.status = session.pinned.Status
+		if err := session.output.add(&pgproto3.ReadyForQuery{TxStatus: session.status}); err != nil {
+			return err
+		}
+	}
+	session.output.release()
+	return session.output.flush(session.conn)
+}
+
+// finish answers the end of a request outside of a transaction, once all that
+// the answer rests on is acknowledged (rule 7).
+func (session *session) finish(ctx context.Context, position posn.Position) error {
+	session.status = 'I'
+	if err := session.acknowledge(ctx, position); err != nil {
+		session.output.takeBack()
+		return err
+	}
+	session.raiseFloor(position)
+	if session.floor.Compare(session.told) > 0 {
+		session.told = session.floor
+		// The session's own answers carry its floor from here on.
+		session.hasFloor = true
+		token := session.server.Sealer.Seal(session.database, session.floor)
+		if err := session.output.add(&pgproto3.ParameterStatus{Name: sessionParameter, Value: token}); err != nil {
+			return err
+		}
+	}
+	if err := session.output.add(&pgproto3.ReadyForQuery{TxStatus: 'I'}); err != nil {
+		return err
+	}
+	session.output.release()
+	return session.output.flush(session.conn)
+}
+
+func (session *session) acknowledge(ctx context.Context, position posn.Position) error {
+	if session.holder.Watch.IsAcked(position) {
+		return nil
+	}
+	if ctx.Err() != nil {
+		// A long statement has used up the time to wait for a connection; its
+		// acknowledgement has a time of its own.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, session.holder.Settings().Rule.Wait())
+	defer cancel()
+	return session.holder.Watch.WaitAcked(ctx, position)
+}
--- /dev/null
+++ b/entry/local.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleydoor/bramleydoor/fault"
+)
+
+// serveLocal answers requests that are about the proxy's own settings, or that
+// it must refuse. It returns false if the request is for a slot.
+func (session *session) serveLocal(ctx context.Context, req *request) (bool, error) {
+	if session.isBroken {
+		return true, session.serveBroken(req)
+	}
+	switch req.kind {
+	case kindRefused:
+		return true, fault.Refuse(fault.CodeUnsupported, fault.ReasonUnsupported,
+			"the statement needs a connection of its own, which a pooled session doesn't have: "+firstWord(req.text))
+	case kindReset, kindDiscard:
+		if session.pinned == nil && req.isSimple {
+			if _, ok := parseCommand(req.text); !ok {
+				return true, session.serveReset(req)
+			}
+		}
+	}
+	if req.isSimple {
+		found, ok := parseCommand(req.text)
+		if !ok {
+			return false, nil
+		}
+		return true, session.serveCommand(ctx, found)
+	}
+	if !session.isAboutCommands(req) {
+		return false, nil
+	}
+	return true, session.serveCommandBatch(ctx, req)
+}
+
+func firstWord(text string) string {
+	fields := strings.Fields(skipBlanks(text))
+	if len(fields) == 0 {
+		return ""
+	}
+	return strings.ToUpper(fields[0])
+}
+
+// serveBroken answers in a transaction whose connection was lost, as an
+// upstream does in a failed one.
+func (session *session) serveBroken(req *request) error {
+	if req.kind != kindCommit && req.kind != kindRollback {
+		// in_failed_sql_transaction
+		return fault.Refuse("25P02", fault.ReasonUpstreamLost, "the transaction was lost with its connection; end it with ROLLBACK")
+	}
+	session.isBroken = false
+	session.endTransaction()
+	if req.isSimple {
+		return session.answerTag("ROLLBACK")
+	}
+	session.answerBatch(req, "ROLLBACK")
+	return session.answerReady()
+}
+
+// answerBatch sends the answers to an extended batch with one statement that
+// returns no rows.
+func (session *session) answerBatch(req *request, tag string) {
+	for _, message := range req.messages {
+		switch message := message.(type) {
+		case *pgproto3.Parse:
+			session.backend.Send(madeParse)
+		case *pgproto3.Bind:
+			session.backend.Send(&pgproto3.BindComplete{})
+		case *pgproto3.Describe:
+			if message.ObjectType == 'S' {
+				session.backend.Send(&pgproto3.ParameterDescription{})
+			}
+			session.backend.Send(&pgproto3.NoData{})
+		case *pgproto3.Execute:
+			session.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+		case *pgproto3.Close:
+			session.backend.Send(madeClose)
+		}
+	}
+}
+
+func (session *session) serveReset(req *request) error {
+	session.upstreamSettings, session.isReadOnly = nil, false
+	session.settings, session.outer = settings{}, settings{}
+	if req.kind == kindDiscard {
+		session.statements = make(map[string]*statement)
+		return session.answerTag("DISCARD ALL")
+	}
+	return session.answerTag("RESET")
+}
+
+func (session *session) serveCommand(ctx context.Context, found *command) error {
+	value, err := session.runCommand(ctx, found)
+	if err != nil {
+		return err
+	}
+	if found.verb == "SHOW" {
+		session.backend.Send(showDescription(found))
+		session.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	return session.answerTag(found.verb)
+}
+
+const textOID = 25
+
+func showDescription(found *command) *pgproto3.RowDescription {
+	field := pgproto3.FieldDescription{Name: []byte(found.name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}}
+}
+
+// isAboutCommands reports whether any statement in the batch is about our own
+// settings.
+func (session *session) isAboutCommands(req *request) bool {
+	for _, message := range req.messages {
+		if found := session.statementOf(message); found != nil && found.command != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// statementOf returns the statement that a message refers to, if any.
+func (session *session) statementOf(message pgproto3.FrontendMessage) *statement {
+	switch message := message.(type) {
+	case *pgproto3.Parse:
+		return session.statements[message.Name]
+	case *pgproto3.Bind:
+		return session.statements[message.PreparedStatement]
+	case *pgproto3.Describe:
+		if message.ObjectType == 'S' {
+			return session.statements[message.Name]
+		}
+		return session.portals[message.Name]
+	case *pgproto3.Execute:
+		return session.portals[message.Portal]
+	}
+	return nil
+}
+
+func (session *session) serveCommandBatch(ctx context.Context, req *request) error {
+	for _, message := range req.messages {
+		if found := session.statementOf(message); found != nil && found.command == nil {
+			return fault.Refuse(fault.CodeUnsupported, fault.ReasonUnsupported,
+				"a batch can't mix bramley settings with other statements")
+		}
+	}
+	for _, message := range req.messages {
+		if err := session.answerCommandMessage(ctx, message); err != nil {
+			return err
+		}
+	}
+	if req.hasSync {
+		return session.answerReady()
+	}
+	return session.backend.Flush()
+}
+
+func (session *session) answerCommandMessage(ctx context.Context, message pgproto3.FrontendMessage) error {
+	found := session.statementOf(message)
+	switch message := message.(type) {
+	case *pgproto3.Parse:
+		session.backend.Send(madeParse)
+	case *pgproto3.Bind:
+		session.backend.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Close:
+		session.backend.Send(madeClose)
+	case *pgproto3.Describe:
+		if message.ObjectType == 'S' {
+			session.backend.Send(&pgproto3.ParameterDescription{})
+		}
+		if found != nil && found.command.verb == "SHOW" {
+			session.backend.Send(showDescription(found.command))
+			return nil
+		}
+		session.backend.Send(&pgproto3.NoData{})
+	case *pgproto3.Execute:
+		value, err := session.runCommand(ctx, found.command)
+		if err != nil {
+			return err
+		}
+		if found.command.verb == "SHOW" {
+			session.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+		}
+		session.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(found.command.verb)})
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/setting.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/fault"
+)
+
+// The settings of bramleydoor's own, in lower case as PostgreSQL folds names.
+const (
+	settingPrefix     = "bramley."
+	settingSession    = "bramley.session"
+	settingStaleness  = "bramley.staleness"
+	settingRequestKey = "bramley.requestkey"
+	settingOutcome    = "bramley.outcome"
+)
+
+// sessionParameter is the ParameterStatus that reports the session token.
+const sessionParameter = "bramley.session"
+
+// Bounds of settings.
+const (
+	maxStaleness        = 24 * time.Hour
+	maxKeyBytes         = 200
+	maxUpstreamSettings = 16
+)
+
+// settings are what a caller has set with SET. The value is copied when a
+// transaction begins, so that SET LOCAL ends with it.
+type settings struct {
+	staleness time.Duration
+	key       string
+	// isKeyArmed says that the key names the next transaction that writes.
+	isKeyArmed bool
+}
+
+// command is a statement about bramleydoor's own settings.
+type command struct {
+	verb    string // SET, SHOW or RESET
+	name    string
+	value   string
+	isLocal bool
+}
+
+var (
+	setPattern   = regexp.MustCompile(`(?is)^SET\s+(?:(SESSION|LOCAL)\s+)?(bramley\.\w+)\s*(?:=|\s+TO\s+)\s*('(?:[^']|'')*'|[\w.+-]+)\s*;?\s*$`)
+	showPattern  = regexp.MustCompile(`(?is)^(SHOW|RESET)\s+(bramley\.\w+)\s*;?\s*$`)
+	readOnlyText = regexp.MustCompile(`(?is)^SET\s+(?:SESSION\s+)?(?:CHARACTERISTICS\s+AS\s+TRANSACTION\s+READ\s+ONLY|default_transaction_read_only\s*(?:=|TO)\s*'?(?:on|true|1)'?)\s*;?\s*$`)
+)
+
+// parseCommand returns the command in text, if it is about our own settings.
+func parseCommand(text string) (*command, bool) {
+	text = skipBlanks(text)
+	if match := setPattern.FindStringSubmatch(text); match != nil {
+		value := match[3]
+		if strings.HasPrefix(value, "'") {
+			value = strings.ReplaceAll(value[1:len(value)-1], "''", "'")
+		}
+		isLocal := strings.EqualFold(match[1], "LOCAL")
+		return &command{verb: "SET", name: strings.ToLower(match[2]), value: value, isLocal: isLocal}, true
+	}
+	if match := showPattern.FindStringSubmatch(text); match != nil {
+		return &command{verb: strings.ToUpper(match[1]), name: strings.ToLower(match[2])}, true
+	}
+	return nil, false
+}
+
+func invalid(message string) error {
+	return fault.Refuse(fault.CodeInvalidSetting, fault.ReasonBadMessage, message)
+}
+
+// set changes one setting.
+func (session *session) set(name, value string, isLocal bool) error {
+	if isLocal && session.status != 'T' {
+		// As in PostgreSQL, SET LOCAL outside of a transaction has no effect.
+		return nil
+	}
+	target := &session.settings
+	switch name {
+	case settingStaleness:
+		staleness, err := time.ParseDuration(value)
+		if value == "" || strings.EqualFold(value, "default") {
+			staleness, err = 0, nil
+		}
+		if err != nil || staleness < 0 || staleness > maxStaleness {
+			return invalid("bramley.staleness wants a duration such as '60s', at most 24h")
+		}
+		target.staleness = staleness
+	case settingRequestKey:
+		if len(value) > maxKeyBytes || strings.ContainsRune(value, 0) {
+			return invalid("bramley.requestKey is too long or has a zero byte")
+		}
+		target.key = value
+		target.isKeyArmed = value != ""
+	case settingSession:
+		session.takeToken(value)
+	default:
+		return invalid("unknown setting " + name)
+	}
+	if !isLocal {
+		session.outer = session.settings
+	}
+	return nil
+}
+
+// takeToken raises the floor to a token's position. A token that can't be
+// believed leaves the session without a floor, so that one is confirmed.
+func (session *session) takeToken(token string) {
+	position, err := session.server.Sealer.Open(session.database, token)
+	if err != nil {
+		session.server.Stats.TokensIgnored.Add(1)
+		session.server.Events.Write(event.TokenIgnored, event.Fields{"error": err.Error(), "database": session.database})
+		return
+	}
+	session.raiseFloor(position)
+	session.hasFloor = true
+}
+
+// run carries out a command and returns the text that SHOW answers with.
+func (session *session) runCommand(ctx context.Context, command *command) (string, error) {
+	switch command.verb {
+	case "SET":
+		return "", session.set(command.name, command.value, command.isLocal)
+	case "RESET":
+		return "", session.set(command.name, "", false)
+	}
+	switch command.name {
+	case settingStaleness:
+		return session.settings.staleness.String(), nil
+	case settingRequestKey:
+		return session.settings.key, nil
+	case settingSession:
+		return session.server.Sealer.Seal(session.database, session.floor), nil
+	case settingOutcome:
+		return session.outcomeOf(ctx, session.settings.key)
+	}
+	return "", invalid("unknown setting " + command.name)
+}
+
+// addUpstreamSetting remembers a SET that is repeated on each connection.
+func (session *session) addUpstreamSetting(text string) error {
+	if len(session.upstreamSettings) >= maxUpstreamSettings {
+		return fault.Refuse(fault.CodeUnsupported, fault.ReasonTooLarge, "too many session settings")
+	}
+	if readOnlyText.MatchString(skipBlanks(text)) {
+		session.isReadOnly = true
+	}
+	session.upstreamSettings = append(session.upstreamSettings, strings.TrimRight(strings.TrimSpace(text), ";"))
+	return nil
+}
--- /dev/null
+++ b/entry/startup.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleydoor/bramleydoor/fault"
+)
+
+// reported are the parameters that callers receive at the start. They are the
+// proxy's own, since no upstream connection is taken for a startup.
+var reported = []pgproto3.ParameterStatus{
+	{Name: "server_version", Value: "16.0"},
+	{Name: "server_encoding", Value: "UTF8"},
+	{Name: "client_encoding", Value: "UTF8"},
+	{Name: "DateStyle", Value: "ISO, MDY"},
+	{Name: "integer_datetimes", Value: "on"},
+	{Name: "standard_conforming_strings", Value: "on"},
+}
+
+const secretBytes = 4
+
+func newCancelKey() (pid uint32, secret []byte) {
+	var random [4 + secretBytes]byte
+	_, _ = rand.Read(random[:])
+	// Some drivers read the process number as signed.
+	pid = binary.BigEndian.Uint32(random[:4]) &^ (1 << 31)
+	return pid, random[4:]
+}
+
+func (session *session) hasSecret(secret []byte) bool {
+	return subtle.ConstantTimeCompare(session.secret, secret) == 1
+}
+
+// startup runs the protocol up to the first ReadyForQuery. Without an error, a
+// nil backend means that there is nothing more to serve.
+func (session *session) startup() error {
+	server := session.server
+	if err := session.conn.SetDeadline(time.Now().Add(server.StartupTimeout)); err != nil {
+		return err
+	}
+	backend := pgproto3.NewBackend(session.conn, session.conn)
+	for {
+		message, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return fault.Refuse(fault.CodeProtocol, fault.ReasonBadMessage, "malformed startup message")
+		}
+		switch message := message.(type) {
+		case *pgproto3.SSLRequest:
+			if backend, err = session.offerTLS(backend); err != nil {
+				return err
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := session.conn.Write([]byte{'N'}); err != nil {
+				return err
+			}
+		case *pgproto3.CancelRequest:
+			session.passCancel(message)
+			return nil
+		case *pgproto3.StartupMessage:
+			return session.open(backend, message)
+		}
+	}
+}
+
+func (session *session) offerTLS(backend *pgproto3.Backend) (*pgproto3.Backend, error) {
+	if session.server.TLS == nil {
+		_, err := session.conn.Write([]byte{'N'})
+		return backend, err
+	}
+	if _, err := session.conn.Write([]byte{'S'}); err != nil {
+		return nil, err
+	}
+	session.conn = tls.Server(session.conn, session.server.TLS)
+	return pgproto3.NewBackend(session.conn, session.conn), nil
+}
+
+func (session *session) passCancel(request *pgproto3.CancelRequest) {
+	if session.server.CancelLocal(request.ProcessID, request.SecretKey) {
+		return
+	}
+	if session.server.Cancel != nil {
+		session.server.Cancel(request.ProcessID, request.SecretKey)
+	}
+}
+
+func (session *session) open(backend *pgproto3.Backend, startup *pgproto3.StartupMessage) error {
+	session.backend = backend
+	backend.SetMaxBodyLen(session.server.MaxMessage)
+	session.user = startup.Parameters["user"]
+	session.database = startup.Parameters["database"]
+	if session.database == "" {
+		session.database = session.user
+	}
+	if err := session.authenticate(); err != nil {
+		return err
+	}
+	found, ok := session.server.Lookup(session.database)
+	if !ok {
+		refusal := fault.Refuse(fault.CodeNoDatabase, fault.ReasonUnknownDatabase, "no database group has the name "+session.database)
+		return refusal
+	}
+	session.holder = found
+	if err := session.applyOptions(startup.Parameters); err != nil {
+		return err
+	}
+	if err := session.server.add(session); err != nil {
+		return err
+	}
+	backend.Send(&pgproto3.AuthenticationOk{})
+	for i := range reported {
+		backend.Send(&reported[i])
+	}
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: session.pid, SecretKey: session.secret})
+	session.status = 'I'
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if err := backend.Flush(); err != nil {
+		return err
+	}
+	return session.conn.SetDeadline(time.Time{})
+}
+
+// applyOptions takes settings from the startup parameters themselves and from
+// the options parameter in the form -c name=value.
+func (session *session) applyOptions(parameters map[string]string) error {
+	for name, value := range parameters {
+		switch {
+		case name == "options":
+			if err := session.applyCommandLine(value); err != nil {
+				return err
+			}
+		case strings.HasPrefix(strings.ToLower(name), settingPrefix):
+			if err := session.set(strings.ToLower(name), value, false); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (session *session) applyCommandLine(options string) error {
+	for _, option := range splitOptions(options) {
+		name, value, ok := strings.Cut(option, "=")
+		if !ok {
+			return fault.Refuse(fault.CodeInvalidSetting, fault.ReasonBadMessage, "option "+option+" has no value")
+		}
+		name = strings.ToLower(strings.ReplaceAll(name, "-", "_"))
+		if strings.HasPrefix(name, settingPrefix) {
+			if err := session.set(name, value, false); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := session.addUpstreamSetting("SET " + quoteName(name) + " = " + quoteText(value)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// splitOptions returns the name=value of each -c and --; a backslash takes the
+// next character as it is.
+func splitOptions(options string) []string {
+	var words []string
+	var word strings.Builder
+	for i := 0; i < len(options); i++ {
+		switch c := options[i]; {
+		case c == '\\' && i+1 < len(options):
+			i++
+			word.WriteByte(options[i])
+		case c == ' ' || c == '\t':
+			words = appendWord(words, &word)
+		default:
+			word.WriteByte(c)
+		}
+	}
+	words = appendWord(words, &word)
+	var found []string
+	for i := 0; i < len(words); i++ {
+		switch {
+		case words[i] == "-c" && i+1 < len(words):
+			i++
+			found = append(found, words[i])
+		case strings.HasPrefix(words[i], "--"):
+			found = append(found, words[i][len("--"):])
+		case strings.HasPrefix(words[i], "-c"):
+			found = append(found, words[i][len("-c"):])
+		default:
+			found = append(found, words[i])
+		}
+	}
+	return found
+}
+
+func appendWord(words []string, word *strings.Builder) []string {
+	if word.Len() == 0 {
+		return words
+	}
+	text := word.String()
+	word.Reset()
+	return append(words, text)
+}
+
+func quoteText(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
+
+func quoteName(name string) string {
+	parts := strings.Split(name, ".")
+	for i, part := range parts {
+		parts[i] = `"` + strings.ReplaceAll(part, `"`, `""`) + `"`
+	}
+	return strings.Join(parts, ".")
+}
+
+// refuse ends a startup with an error, where the protocol allows one.
+func (session *session) refuse(err error) {
+	var failure *fault.Error
+	if !errors.As(err, &failure) {
+		return
+	}
+	session.server.Stats.Refuse(failure.Reason)
+	backend := session.backend
+	if backend == nil {
+		backend = pgproto3.NewBackend(session.conn, session.conn)
+	}
+	backend.Send(errorResponse("FATAL", failure))
+	_ = backend.Flush()
+}
+
+func errorResponse(severity string, failure *fault.Error) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                failure.Code,
+		Message:             failure.Message,
+		Detail:              failure.Detail(),
+	}
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,130 @@
+// Package event has the catalogue of numbered log events and the log that
+// writes them. docs/EVENTS.md is made from the same table.
+package event
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+)
+
+// ID is the number of an event. Numbers are never given anew.
+type ID int
+
+// The events.
+const (
+	Started          ID = 1001
+	Stopping         ID = 1002
+	Stopped          ID = 1003
+	DutyEnded        ID = 1004
+	CallerRefused    ID = 2001
+	CallerBroke      ID = 2002
+	TokenIgnored     ID = 2003
+	UncertainOutcome ID = 2004
+	PrimarySuspected ID = 3001
+	PromotionBegun   ID = 3002
+	PromotionDone    ID = 3003
+	PromotionFailed  ID = 3004
+	PromotionUseless ID = 3005
+	SlotDropped      ID = 3006
+	ConfigApplied    ID = 4001
+	ConfigRefused    ID = 4002
+	StoreFailing     ID = 4003
+	StoreBack        ID = 4004
+	ConfigFromPeer   ID = 4005
+	PeerSuspected    ID = 5001
+	PeerJoined       ID = 5002
+	PeerLeft         ID = 5003
+	PeerRefused      ID = 5004
+	ShareChanged     ID = 5005
+)
+
+// Entry documents one event.
+type Entry struct {
+	ID    ID
+	Level logrus.Level
+	Title string
+	// Text says what happened and what to do about it.
+	Text string
+	// Fields are the structured fields besides event and vm.
+	Fields []string
+	Since  string
+}
+
+// Catalogue is the table of all events, by number.
+var Catalogue = []Entry{
+	{Started, logrus.InfoLevel, "VM started", "The VM takes callers. Nothing to do.", []string{"address", "zone"}, "0.1"},
+	{Stopping, logrus.InfoLevel, "VM stopping", "A planned stop: callers are ended at their next request boundary.", []string{"reason"}, "0.1"},
+	{Stopped, logrus.InfoLevel, "VM stopped", "All duties have ended.", nil, "0.1"},
+	{DutyEnded, logrus.ErrorLevel, "Duty ended", "A duty ended with an error; the VM stops and should be replaced. Report the error.", []string{"error"}, "0.1"},
+	{CallerRefused, logrus.InfoLevel, "Caller refused", "A connection was refused. The counters tell how often, by reason.", []string{"reason", "remote"}, "0.1"},
+	{CallerBroke, logrus.InfoLevel, "Caller broke the protocol", "Malformed, oversized or slow input; only that caller was closed.", []string{"error", "remote"}, "0.1"},
+	{TokenIgnored, logrus.WarnLevel, "Session token ignored", "A forged, damaged or foreign token; the caller got a confirmed floor. Many of them after a key change mean that an old key was removed too early.", []string{"error", "database"}, "0.1"},
+	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"database", "reason"}, "0.1"},
+	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The keeper has not heard from the primary for longer than its delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
+	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term"}, "0.1"},
+	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "tookMs"}, "0.1"},
+	{PromotionFailed, logrus.ErrorLevel, "Promotion failed", "The attempt ended without a primary; it is repeated. If it goes on, look for slots that don't answer.", []string{"group", "term", "error"}, "0.1"},
+	{PromotionUseless, logrus.ErrorLevel, "Promotion not begun", "No majority of slots answers, so a promotion would not help. Bring slots back.", []string{"group", "answering", "slots"}, "0.1"},
+	{SlotDropped, logrus.WarnLevel, "Slot dropped", "Connections to a slot that does not answer were closed.", []string{"group", "slot", "connections"}, "0.1"},
+	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket is in force on this VM.", []string{"number", "ticket"}, "0.1"},
+	{ConfigRefused, logrus.ErrorLevel, "Configuration refused", "A ticket in the store can't be applied; the VM keeps the one before. Submit a ticket that mends it.", []string{"number", "error"}, "0.1"},
+	{StoreFailing, logrus.WarnLevel, "Store failing", "Calls to the platform's store fail. All goes on but the acceptance of tickets.", []string{"error"}, "0.1"},
+	{StoreBack, logrus.InfoLevel, "Store back", "Calls to the platform's store succeed again.", nil, "0.1"},
+	{ConfigFromPeer, logrus.InfoLevel, "Configuration from a peer", "Tickets came from a peer and not from the store.", []string{"peer", "number"}, "0.1"},
+	{PeerSuspected, logrus.WarnLevel, "Peer suspected", "A VM is silent to its peers; its duties move.", []string{"peer"}, "0.1"},
+	{PeerJoined, logrus.InfoLevel, "Peer joined", "A VM is heard.", []string{"peer"}, "0.1"},
+	{PeerLeft, logrus.InfoLevel, "Peer left", "A VM has left as planned, or the platform says it is gone.", []string{"peer"}, "0.1"},
+	{PeerRefused, logrus.WarnLevel, "Peer refused", "A connection to the peer address did not know the key.", []string{"remote"}, "0.1"},
+	{ShareChanged, logrus.InfoLevel, "Connection shares changed", "The shares of the connection limits follow the VMs that live.", []string{"view", "vms"}, "0.1"},
+}
+
+// Find returns the entry of an event.
+func Find(id ID) (Entry, bool) {
+	for _, entry := range Catalogue {
+		if entry.ID == id {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Log writes events with the fields of one VM.
+type Log struct {
+	logger *logrus.Entry
+}
+
+// NewLog makes a log of the VM that writes to logger.
+func NewLog(logger *logrus.Logger, vm string) *Log {
+	return &Log{logger: logger.WithField("vm", vm)}
+}
+
+// Fields are the structured fields of one event.
+type Fields = logrus.Fields
+
+// Write logs an event. A nil log drops it.
+func (log *Log) Write(id ID, fields Fields) {
+	if log == nil {
+		return
+	}
+	entry, ok := Find(id)
+	if !ok {
+		entry = Entry{ID: id, Level: logrus.ErrorLevel, Title: "unknown event"}
+	}
+	log.logger.WithFields(fields).WithField("event", int(id)).Log(entry.Level, entry.Title)
+}
+
+// Page returns the catalogue as the text of docs/EVENTS.md.
+func Page() string {
+	var page strings.Builder
+	page.WriteString("# Events\n\nEach log line has its number in the field `event` and the VM in `vm`.\nThis page is made by `bramleydoor events --markdown`.\n")
+	for _, entry := range Catalogue {
+		fmt.Fprintf(&page, "\n## %d: %s\n\nLevel %s, since %s.", entry.ID, entry.Title, entry.Level, entry.Since)
+		if len(entry.Fields) > 0 {
+			fmt.Fprintf(&page, " Fields: `%s`.", strings.Join(entry.Fields, "`, `"))
+		}
+		page.WriteString("\n\n" + entry.Text + "\n")
+	}
+	return page.String()
+}
--- /dev/null
+++ b/holder/holder.go
@@ -0,0 +1,257 @@
+// Package holder joins what a VM has for one database group: its watch, its
+// connections, and the choice of slots.
+//
+// Rules:
+//
+//  3. A floor of a higher term than the VM knows means that the VM is behind; it
+//     refreshes before it serves.
+//  11. While there is no primary, writes that were not dispatched wait in the
+//     bounded queue until their deadline; the connection share lets them to the
+//     new primary a few at a time.
+//  15. Retries are taken from a budget that successful requests fill.
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/fault"
+	"github.com/bramleydoor/bramleydoor/pool"
+	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/retry"
+	"github.com/bramleydoor/bramleydoor/route"
+	"github.com/bramleydoor/bramleydoor/stats"
+	"github.com/bramleydoor/bramleydoor/ticket"
+	"github.com/bramleydoor/bramleydoor/view"
+	"github.com/bramleydoor/bramleydoor/watch"
+)
+
+// Timing of a Holder.
+const (
+	// maxSilence is how long a slot may be silent and still be chosen.
+	maxSilence = time.Second
+	// dropAfter is how long a slot fails to answer before its connections are
+	// closed, so that requests on them don't wait for ever.
+	dropAfter = 1200 * time.Millisecond
+	// remoteCost is the expected extra time to a slot in another zone.
+	remoteCost = 2 * time.Millisecond
+)
+
+// Holder serves one database group. Set the exported fields before Run.
+type Holder struct {
+	Watch *watch.Watch
+	Pool  *pool.Pool
+	Clock clock.Clock
+	Stats *stats.Stats
+	// Zone is the VM's availability zone.
+	Zone string
+	// SendCancel sends a cancel request for a connection to its slot.
+	SendCancel func(conn *pool.Conn)
+
+	config config
+	budget retry.Budget
+}
+
+// Settings returns the configuration of the group that is in force.
+func (holder *Holder) Settings() Settings { return holder.config.load() }
+
+// Apply puts a configuration of the group in force.
+func (holder *Holder) Apply(settings Settings) {
+	holder.Watch.SetGroup(settings.Group)
+	holder.config.store(settings)
+}
+
+// Write returns a connection to a primary whose term is opened. Nothing has
+// been dispatched when it fails.
+func (holder *Holder) Write(ctx context.Context, caller string) (*pool.Conn, error) {
+	if holder.Settings().Leaving {
+		return nil, fault.Refuse(fault.CodeUnavailable, fault.ReasonLeaving, "the upstream is leaving")
+	}
+	for {
+		primary, err := holder.Watch.WaitPrimary(ctx)
+		if err != nil {
+			return nil, err
+		}
+		_, changed := holder.Watch.Next()
+		conn, err := holder.Pool.Acquire(ctx, primary.Report.Slot, caller)
+		if err == nil {
+			return conn, nil
+		}
+		failure := fault.From(err)
+		if failure.Reason != fault.ReasonConnectFailed && failure.Reason != fault.ReasonNoShare {
+			return nil, err
+		}
+		holder.Stats.Retry(failure.Reason)
+		if !holder.pause(ctx, changed) {
+			return nil, err
+		}
+	}
+}
+
+// connectPause spaces the attempts while a primary refuses connections.
+const connectPause = 50 * time.Millisecond
+
+func (holder *Holder) pause(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-holder.Clock.After(retry.Jitter(connectPause)):
+	case <-changed:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// Read is a request that a replica may answer.
+type Read struct {
+	Caller    string
+	Floor     posn.Position
+	Staleness time.Duration
+	// Failed are slots that already failed this read.
+	Failed map[string]bool
+}
+
+// Read returns a connection to the slot that should answer, and the choice. The
+// caller checks that the answer's position covers the choice's floor.
+func (holder *Holder) Read(ctx context.Context, read Read) (*pool.Conn, route.Choice, error) {
+	settings := holder.Settings()
+	if settings.Leaving {
+		return nil, route.Choice{}, fault.Refuse(fault.CodeUnavailable, fault.ReasonLeaving, "the upstream is leaving")
+	}
+	if read.Failed == nil {
+		read.Failed = make(map[string]bool)
+	}
+	if read.Floor.Term > holder.Watch.View().Term() {
+		holder.Watch.Poll(ctx)
+	}
+	waitUntil := holder.Clock.Now().Add(settings.Rule.ReplicaWait())
+	for {
+		choice, changed := holder.choose(read, settings, waitUntil)
+		if choice.Slot == "" {
+			if err := holder.waitChange(ctx, choice, changed, waitUntil); err != nil {
+				return nil, choice, err
+			}
+			continue
+		}
+		conn, err := holder.Pool.Acquire(ctx, choice.Slot, read.Caller)
+		if err == nil {
+			holder.Stats.Route(choice.Reason)
+			return conn, choice, nil
+		}
+		failure := fault.From(err)
+		if failure.Reason != fault.ReasonConnectFailed || ctx.Err() != nil {
+			return nil, choice, err
+		}
+		holder.Stats.Retry(failure.Reason)
+		read.Failed[choice.Slot] = true
+	}
+}
+
+func (holder *Holder) choose(read Read, settings Settings, waitUntil time.Time) (route.Choice, <-chan struct{}) {
+	current, changed := holder.Watch.Next()
+	now := holder.Clock.Now()
+	query := route.Query{
+		Floor:       read.Floor,
+		Staleness:   read.Staleness,
+		MaxSilence:  maxSilence,
+		ReplicaWait: waitUntil.Sub(now),
+		Exclude:     read.Failed,
+		Now:         now,
+	}
+	return route.Choose(query, holder.candidates(current, settings)), changed
+}
+
+// waitChange waits for a replica to catch up, or for any slot at all.
+func (holder *Holder) waitChange(ctx context.Context, choice route.Choice, changed <-chan struct{}, waitUntil time.Time) error {
+	var timeout <-chan time.Time
+	if choice.Reason == route.WaitReplica {
+		timeout = holder.Clock.After(waitUntil.Sub(holder.Clock.Now()))
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-timeout:
+		return nil
+	case <-ctx.Done():
+		return fault.Refuse(fault.CodeUnavailable, fault.ReasonNoReplica, "no slot could answer within the deadline")
+	}
+}
+
+func (holder *Holder) candidates(current view.View, settings Settings) []route.Candidate {
+	candidates := make([]route.Candidate, 0, len(settings.Group.Slots))
+	for _, slot := range settings.Group.Slots {
+		known, ok := current.Slot(slot.Name)
+		if !ok {
+			continue
+		}
+		cost := holder.Pool.Wait(slot.Name)
+		if slot.Zone != holder.Zone {
+			cost += remoteCost
+		}
+		candidates = append(candidates, route.Candidate{Slot: known, Leaving: slot.Leaving, Cost: cost})
+	}
+	return candidates
+}
+
+// Retry reports whether the budget allows one more attempt, and counts it.
+func (holder *Holder) Retry(reason fault.Reason) bool {
+	if !holder.budget.Take() {
+		holder.Stats.Refuse(fault.ReasonRetryBudget)
+		return false
+	}
+	holder.Stats.Retry(reason)
+	return true
+}
+
+// AwaitChange waits a moment before a request that didn't run is sent again;
+// false if its time or the budget is spent.
+func (holder *Holder) AwaitChange(ctx context.Context, reason fault.Reason) bool {
+	_, changed := holder.Watch.Next()
+	return holder.Retry(reason) && holder.pause(ctx, changed)
+}
+
+// Cancel asks the slot to cancel what runs on a connection.
+func (holder *Holder) Cancel(conn *pool.Conn) {
+	if holder.SendCancel != nil {
+		go holder.SendCancel(conn)
+	}
+}
+
+// Succeed fills the retry budget.
+func (holder *Holder) Succeed() { holder.budget.Fill() }
+
+// Run watches the group and drops connections to slots that are out of service,
+// until ctx ends.
+func (holder *Holder) Run(ctx context.Context) error {
+	inner := holder.Watch.OnView
+	holder.Watch.OnView = func(current view.View) {
+		holder.fence(current)
+		if inner != nil {
+			inner(current)
+		}
+	}
+	return holder.Watch.Run(ctx)
+}
+
+// fence drops the connections to slots that don't answer, and those to a former
+// primary: requests there could only end in an unknown outcome, or wait.
+func (holder *Holder) fence(current view.View) {
+	now := holder.Clock.Now()
+	_, isReady := current.Ready()
+	term := current.Term()
+	for _, slot := range current.Slots {
+		name := slot.Report.Slot
+		isSilent := !slot.FailingSince.IsZero() && now.Sub(slot.FailingSince) > dropAfter
+		isFormer := isReady && slot.Sealed < term && !slot.FailingSince.IsZero()
+		isDead := slot.Refused && !slot.FailingSince.IsZero()
+		if isSilent || isFormer || isDead {
+			holder.Pool.Drop(name)
+		}
+	}
+}
+
+// Settings are the parts of a configuration that concern one group.
+type Settings struct {
+	Group   ticket.Group
+	Rule    ticket.Rule
+	Leaving bool
+}
--- /dev/null
+++ b/pool/conn.go
@@ -0,0 +1,181 @@
+package pool
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleydoor/bramleydoor/group"
+	"github.com/bramleydoor/bramleydoor/posn"
+)
+
+// resetQuery ends everything that one caller could leave to the next, but for
+// prepared statements, whose names are ours and the same for all callers.
+const resetQuery = "CLOSE ALL; RESET ALL; UNLISTEN *; SELECT pg_advisory_unlock_all(); DISCARD SEQUENCES; DISCARD TEMP"
+
+// resetTimeout bounds a reset; a connection in doubt is closed.
+const resetTimeout = 2 * time.Second
+
+// maxPrepared bounds the prepared statements on one connection.
+const maxPrepared = 256
+
+// Conn is one upstream connection. Between Acquire and Release it belongs to
+// one request or transaction.
+type Conn struct {
+	Slot     string
+	Frontend *pgproto3.Frontend
+	// Position is the last log position that the slot reported here.
+	Position posn.Position
+	// Status is the transaction status of the last ReadyForQuery.
+	Status byte
+	// PID and Secret are for cancel requests.
+	PID    uint32
+	Secret []byte
+	// Parameters are what the slot reported when the connection was opened.
+	Parameters map[string]string
+
+	net      net.Conn
+	prepared map[string]struct{}
+	idleAt   time.Time
+	dropped  bool
+}
+
+// Dialer opens a network connection.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Connect opens a connection to a slot.
+func Connect(ctx context.Context, settings *pgconn.Config, slot string) (*Conn, error) {
+	connection, err := pgconn.ConnectConfig(ctx, settings)
+	if err != nil {
+		return nil, err
+	}
+	hijacked, err := connection.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{
+		Slot:       slot,
+		Frontend:   hijacked.Frontend,
+		Status:     'I',
+		PID:        hijacked.PID,
+		Secret:     hijacked.SecretKey,
+		Parameters: hijacked.ParameterStatuses,
+		net:        hijacked.Conn,
+		prepared:   make(map[string]struct{}),
+	}, nil
+}
+
+// Receive reads the next message. It keeps Position and Status, and returns
+// position reports like any other message.
+func (conn *Conn) Receive() (pgproto3.BackendMessage, error) {
+	message, err := conn.Frontend.Receive()
+	if err != nil {
+		return nil, err
+	}
+	switch message := message.(type) {
+	case *pgproto3.ReadyForQuery:
+		conn.Status = message.TxStatus
+	case *pgproto3.ParameterStatus:
+		if message.Name != group.PositionParameter {
+			break
+		}
+		if conn.Position, err = posn.Parse(message.Value); err != nil {
+			return nil, err
+		}
+	}
+	return message, nil
+}
+
+// IsPrepared reports whether the statement is prepared on this connection.
+func (conn *Conn) IsPrepared(name string) bool {
+	_, ok := conn.prepared[name]
+	return ok
+}
+
+// SetPrepared notes a prepared statement.
+func (conn *Conn) SetPrepared(name string) { conn.prepared[name] = struct{}{} }
+
+// Row is one row of a result, as text.
+type Row []string
+
+// Result is the outcome of Exec.
+type Result struct {
+	Tag  string
+	Rows []Row
+}
+
+// Exec runs a simple query of our own and reads its whole result. An error of
+// the upstream is a *pgconn.PgError; after any other error the connection must
+// not be used again.
+func (conn *Conn) Exec(query string) (Result, error) {
+	conn.Frontend.Send(&pgproto3.Query{String: query})
+	if err := conn.Frontend.Flush(); err != nil {
+		return Result{}, err
+	}
+	var result Result
+	var failure error
+	for {
+		message, err := conn.Receive()
+		if err != nil {
+			return result, err
+		}
+		switch message := message.(type) {
+		case *pgproto3.DataRow:
+			result.Rows = append(result.Rows, textRow(message.Values))
+		case *pgproto3.CommandComplete:
+			result.Tag = string(message.CommandTag)
+		case *pgproto3.ErrorResponse:
+			failure = pgconn.ErrorResponseToPgError(message)
+		case *pgproto3.ReadyForQuery:
+			return result, failure
+		}
+	}
+}
+
+func textRow(values [][]byte) Row {
+	row := make(Row, len(values))
+	for i, value := range values {
+		row[i] = string(value)
+	}
+	return row
+}
+
+// errDirty says that a reset didn't leave the connection idle.
+var errDirty = errors.New("connection is not idle after its reset")
+
+func (conn *Conn) reset() error {
+	if err := conn.net.SetDeadline(time.Now().Add(resetTimeout)); err != nil {
+		return err
+	}
+	if _, err := conn.Exec(resetQuery); err != nil {
+		return err
+	}
+	if conn.Status != 'I' || len(conn.prepared) > maxPrepared {
+		return errDirty
+	}
+	return conn.net.SetDeadline(time.Time{})
+}
+
+// terminateTimeout bounds the wait for the upstream to close its side.
+const terminateTimeout = time.Second
+
+// terminate says goodbye and waits for the upstream to close its side.
+func (conn *Conn) terminate() {
+	defer conn.Close()
+	if conn.net.SetDeadline(time.Now().Add(terminateTimeout)) != nil {
+		return
+	}
+	conn.Frontend.Send(&pgproto3.Terminate{})
+	if conn.Frontend.Flush() != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, conn.net)
+}
+
+// Close ends the connection.
+func (conn *Conn) Close() { _ = conn.net.Close() }
--- /dev/null
+++ b/serve/admin.go
@@ -0,0 +1,147 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/bramleydoor/bramleydoor/gossip"
+	"github.com/bramleydoor/bramleydoor/holder"
+	"github.com/bramleydoor/bramleydoor/pool"
+	"github.com/bramleydoor/bramleydoor/stats"
+)
+
+// Status is what a VM knows.
+type Status struct {
+	VM     string                 `json:"vm"`
+	Zone   string                 `json:"zone"`
+	Number uint64                 `json:"number"`
+	Live   []string               `json:"live"`
+	Epoch  uint64                 `json:"shareEpoch"`
+	Groups map[string]GroupStatus `json:"groups"`
+
+	Sessions   int64            `json:"sessions"`
+	Requests   int64            `json:"requests"`
+	Commits    int64            `json:"commits"`
+	Promotions int64            `json:"promotions"`
+	Refusals   map[string]int64 `json:"refusals"`
+	Retries    map[string]int64 `json:"retries"`
+	Routes     map[string]int64 `json:"routes"`
+}
+
+// GroupStatus is what a VM knows of a group.
+type GroupStatus struct {
+	Term    uint64       `json:"term"`
+	Primary string       `json:"primary"`
+	Acked   string       `json:"acked"`
+	Slots   []SlotStatus `json:"slots"`
+	Pool    pool.Usage   `json:"pool"`
+}
+
+// SlotStatus is what a VM knows of a slot.
+type SlotStatus struct {
+	Name string `json:"name"`
+	Held string `json:"held"`
+	// LagMs is the proven age of the slot's data, -1 if there is no proof.
+	LagMs int64 `json:"lagMs"`
+	// SilentMs is how long ago the slot last answered, -1 for never.
+	SilentMs int64 `json:"silentMs"`
+}
+
+// Status returns a snapshot.
+func (vm *VM) Status() Status {
+	status := Status{
+		VM:         vm.Settings.ID,
+		Zone:       vm.Settings.Zone,
+		Number:     vm.relay.State().Number,
+		Live:       gossip.IDs(vm.gossip.Live()),
+		Epoch:      vm.shares.view().Epoch,
+		Groups:     make(map[string]GroupStatus),
+		Sessions:   vm.Stats.Sessions.Value(),
+		Requests:   vm.Stats.Requests.Value(),
+		Commits:    vm.Stats.Commits.Value(),
+		Promotions: vm.Stats.Promotions.Value(),
+		Refusals:   stats.Counts(&vm.Stats.Refusals),
+		Retries:    stats.Counts(&vm.Stats.Retries),
+		Routes:     stats.Counts(&vm.Stats.Routes),
+	}
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	for name, found := range vm.groups {
+		status.Groups[name] = groupStatus(found.holder, vm.Clock.Now())
+	}
+	return status
+}
+
+func groupStatus(held *holder.Holder, now time.Time) GroupStatus {
+	current := held.Watch.View()
+	status := GroupStatus{Term: current.Term(), Acked: current.Acked.String(), Pool: held.Pool.Usage()}
+	if primary, ok := current.Ready(); ok {
+		status.Primary = primary.Report.Slot
+	}
+	for _, slot := range current.Slots {
+		status.Slots = append(status.Slots, SlotStatus{
+			Name:     slot.Report.Slot,
+			Held:     slot.Held.String(),
+			LagMs:    since(slot.ProvenAt, now),
+			SilentMs: since(slot.HeardAt, now),
+		})
+	}
+	return status
+}
+
+func since(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// adminTimeout bounds a request to the admin address.
+const adminTimeout = 10 * time.Second
+
+// runAdmin serves counters and health on an address that callers can't reach.
+func (vm *VM) runAdmin(ctx context.Context) error {
+	if vm.Settings.Admin == "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	listener, err := net.Listen("tcp", vm.Settings.Admin)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", vm.serveStatus)
+	mux.HandleFunc("GET /health", vm.serveHealth)
+	mux.HandleFunc("GET /debug/vars", vm.serveVars)
+	server := &http.Server{Handler: mux, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err = server.Serve(listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (vm *VM) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(vm.Status())
+}
+
+// serveHealth answers 200 once the VM has a configuration and takes callers,
+// and 503 while it stops, so that the balancer turns away.
+func (vm *VM) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if vm.relay.State().Number == 0 || vm.entry.IsStopping() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (vm *VM) serveVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte(vm.Stats.Map().String()))
+}
--- /dev/null
+++ b/serve/handler.go
@@ -0,0 +1,120 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/detect"
+	"github.com/bramleydoor/bramleydoor/member"
+	"github.com/bramleydoor/bramleydoor/owner"
+	"github.com/bramleydoor/bramleydoor/peer"
+	"github.com/bramleydoor/bramleydoor/share"
+	"github.com/bramleydoor/bramleydoor/store"
+)
+
+// handler answers the calls of other VMs.
+type handler VM
+
+func (handler *handler) vm() *VM { return (*VM)(handler) }
+
+// Ping answers a probe.
+func (handler *handler) Ping(ping peer.Ping) peer.Ping { return handler.gossip.Answer(ping) }
+
+// Opinion answers for one group.
+func (handler *handler) Opinion(query peer.OpinionQuery) detect.Opinion {
+	return handler.opinion(query.Group)
+}
+
+func (handler *handler) opinion(name string) detect.Opinion {
+	vm := handler.vm()
+	vm.mu.Lock()
+	found, ok := vm.groups[name]
+	vm.mu.Unlock()
+	if !ok {
+		return detect.Opinion{VM: vm.Settings.ID}
+	}
+	return found.keeper.Opinion()
+}
+
+// Tickets answers with the configuration.
+func (handler *handler) Tickets(ctx context.Context, query peer.TicketQuery) peer.TicketReply {
+	return handler.relay.Answer(ctx, query)
+}
+
+// Shares answers with the view of the connection shares.
+func (handler *handler) Shares() share.View { return handler.shares.view() }
+
+// Cancel passes a cancel request to a caller's session here.
+func (handler *handler) Cancel(query peer.CancelQuery) {
+	handler.entry.CancelLocal(query.PID, query.Secret)
+}
+
+// passCancel asks the other VMs: the balancer may have sent the request to any.
+func (vm *VM) passCancel(pid uint32, secret []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), peer.DefaultTimeout)
+	defer cancel()
+	for _, other := range vm.others() {
+		_ = vm.peers.Cancel(ctx, other.Address, peer.CancelQuery{PID: pid, Secret: secret})
+	}
+}
+
+func (vm *VM) others() []member.Member {
+	var others []member.Member
+	for _, m := range vm.gossip.Live() {
+		if m.ID != vm.Settings.ID {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+var errNoPeer = errors.New("no live peer")
+
+// askTickets asks a relay of the own availability zone, or any other VM. While
+// one doesn't answer, membership takes it out of the way.
+func (vm *VM) askTickets(ctx context.Context, query peer.TicketQuery) (peer.TicketReply, string, error) {
+	others := vm.others()
+	if len(others) == 0 {
+		return peer.TicketReply{}, "", errNoPeer
+	}
+	var zone, all []string
+	addresses := make(map[string]string)
+	for _, m := range others {
+		addresses[m.ID] = m.Address
+		all = append(all, m.ID)
+		if m.Zone == vm.Settings.Zone {
+			zone = append(zone, m.ID)
+		}
+	}
+	ranked := owner.Rank("relay/"+vm.Settings.Zone, zone)
+	if len(ranked) == 0 {
+		// The order of others differs from VM to VM, which spreads the load.
+		ranked = owner.Rank(vm.Settings.ID+time.Now().Format(time.TimeOnly), all)
+	}
+	reply, err := vm.peers.Tickets(ctx, addresses[ranked[0]], query)
+	return reply, ranked[0], err
+}
+
+func (vm *VM) fillPing(ping *peer.Ping) {
+	ping.Epoch, ping.IsClosed = vm.shares.word()
+	ping.Number = vm.relay.State().Number
+}
+
+func openStore(address string) (store.Store, error) {
+	opener, err := store.Adapters.Lookup(schemeOf(address))
+	if err != nil {
+		return nil, err
+	}
+	return opener(address)
+}
+
+func schemeOf(address string) string {
+	for i := range address {
+		if address[i] == ':' {
+			return address[:i]
+		}
+	}
+	return address
+}
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,269 @@
+// Package watch keeps the view of one database group: a goroutine polls the
+// slots for health, another follows the primary's progress for all commits that
+// wait for their acknowledgement.
+package watch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/fault"
+	"github.com/bramleydoor/bramleydoor/group"
+	"github.com/bramleydoor/bramleydoor/kernel"
+	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/quorum"
+	"github.com/bramleydoor/bramleydoor/ticket"
+	"github.com/bramleydoor/bramleydoor/view"
+)
+
+// Defaults of a Watch.
+const (
+	DefaultInterval = 100 * time.Millisecond
+	DefaultTimeout  = 400 * time.Millisecond
+	// progressWait is how long the primary may hold back an unchanged answer.
+	progressWait = 500 * time.Millisecond
+	// progressPause bounds the rate of answers while commits stream in.
+	progressPause = time.Millisecond
+)
+
+// Watch is a duty. Set the exported fields before Run.
+type Watch struct {
+	Control group.Control
+	Clock   clock.Clock
+	// Interval is the time between polls; Timeout bounds each call.
+	Interval time.Duration
+	Timeout  time.Duration
+	// OnView, if set, is called after each poll.
+	OnView func(view.View)
+	// Calls counts control calls.
+	Calls atomic.Int64
+
+	mu      sync.Mutex
+	group   ticket.Group
+	changed chan struct{}
+	view    atomic.Pointer[view.View]
+
+	confirm confirmer
+}
+
+// SetGroup sets the slots to watch; it may be called while Run runs.
+func (watch *Watch) SetGroup(group ticket.Group) {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	watch.group = group
+	if watch.changed == nil {
+		watch.changed = make(chan struct{})
+		watch.confirm.requests = make(chan chan confirmation, confirmBacklog)
+	}
+	old := watch.view.Load()
+	if old == nil || old.Size != len(group.Slots) {
+		watch.view.Store(&view.View{Size: len(group.Slots)})
+	}
+}
+
+// Group returns the group that is watched.
+func (watch *Watch) Group() ticket.Group {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	return watch.group
+}
+
+// View returns the current snapshot.
+func (watch *Watch) View() view.View { return *watch.view.Load() }
+
+// Next returns the current snapshot and a channel that closes when it changes.
+func (watch *Watch) Next() (view.View, <-chan struct{}) {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	return *watch.view.Load(), watch.changed
+}
+
+func (watch *Watch) update(change func(view.View) view.View) {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	next := change(*watch.view.Load())
+	watch.view.Store(&next)
+	close(watch.changed)
+	watch.changed = make(chan struct{})
+}
+
+// Observe takes in a position that traffic showed a slot to hold.
+func (watch *Watch) Observe(slot string, seen posn.Position) {
+	known, ok := watch.View().Slot(slot)
+	if ok && known.Seen.AtLeast(seen) {
+		return
+	}
+	now := watch.Clock.Now()
+	watch.update(func(v view.View) view.View { return v.WithSeen(slot, seen, now) })
+}
+
+// Run polls until ctx ends.
+func (watch *Watch) Run(ctx context.Context) error {
+	return kernel.Run(ctx,
+		kernel.DutyFunc(watch.runPoll),
+		kernel.DutyFunc(watch.runProgress),
+		kernel.DutyFunc(watch.runConfirm),
+	)
+}
+
+func (watch *Watch) runPoll(ctx context.Context) error {
+	for ctx.Err() == nil {
+		next := watch.Clock.After(watch.Interval)
+		watch.Poll(ctx)
+		select {
+		case <-next:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// Poll asks each slot once. It returns when all have answered or failed, with
+// the reports received.
+func (watch *Watch) Poll(ctx context.Context) []quorum.Report {
+	start := watch.Clock.Now()
+	slots := watch.Group().Slots
+	results := make(chan quorum.Report, len(slots))
+	var pending sync.WaitGroup
+	for _, slot := range slots {
+		pending.Go(func() {
+			if report, err := watch.ask(ctx, slot); err == nil {
+				results <- report
+			}
+		})
+	}
+	pending.Wait()
+	close(results)
+	var reports []quorum.Report
+	for report := range results {
+		reports = append(reports, report)
+	}
+	if floor, ok := quorum.Floor(len(slots), reports); ok {
+		watch.update(func(v view.View) view.View { return v.WithFloor(floor, start) })
+	}
+	if watch.OnView != nil {
+		watch.OnView(watch.View())
+	}
+	return reports
+}
+
+func (watch *Watch) ask(ctx context.Context, slot ticket.Slot) (quorum.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, watch.Timeout)
+	defer cancel()
+	watch.Calls.Add(1)
+	report, err := watch.Control.Report(ctx, slot.Control)
+	now := watch.Clock.Now()
+	if err != nil {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		watch.update(func(v view.View) view.View { return v.WithFailure(slot.Name, refused, now) })
+		return report, err
+	}
+	report.Slot = slot.Name
+	watch.update(func(v view.View) view.View { return v.WithReport(report, now) })
+	return report, nil
+}
+
+func (watch *Watch) runProgress(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := watch.Clock.After(progressPause)
+		if !watch.followProgress(ctx) {
+			pause = watch.Clock.After(watch.Interval)
+		}
+		select {
+		case <-pause:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// followProgress makes one waiting call to the primary.
+func (watch *Watch) followProgress(ctx context.Context) bool {
+	current, changed := watch.Next()
+	primary, ok := current.Primary()
+	if !ok {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		return ok
+	}
+	slot, ok := findSlot(watch.Group(), primary.Report.Slot)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, progressWait+watch.Timeout)
+	defer cancel()
+	watch.Calls.Add(1)
+	reports, err := watch.Control.Progress(ctx, slot.Control, current.Acked, progressWait)
+	if err != nil {
+		return false
+	}
+	now := watch.Clock.Now()
+	watch.update(func(v view.View) view.View { return v.WithProgress(reports, now) })
+	return true
+}
+
+func findSlot(group ticket.Group, name string) (ticket.Slot, bool) {
+	for _, slot := range group.Slots {
+		if slot.Name == name {
+			return slot, true
+		}
+	}
+	return ticket.Slot{}, false
+}
+
+// IsAcked reports whether the entry at position is known to be acknowledged.
+func (watch *Watch) IsAcked(position posn.Position) bool {
+	return position.IsZero() || watch.view.Load().Fate(position) == quorum.FateKept
+}
+
+// WaitAcked waits until the entry at position is acknowledged (rule 7). The
+// error says notRun if a failover has undone the entry for good, unknown if ctx
+// ended before that was settled.
+func (watch *Watch) WaitAcked(ctx context.Context, position posn.Position) error {
+	if position.IsZero() {
+		return nil
+	}
+	for {
+		current, changed := watch.Next()
+		switch current.Fate(position) {
+		case quorum.FateKept:
+			return nil
+		case quorum.FateLost:
+			return &fault.Error{
+				Verdict: fault.NotRun,
+				Code:    fault.CodeRolledBack,
+				Reason:  fault.ReasonRolledBack,
+				Message: "a failover undid the transaction before it was acknowledged",
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.Lost(fault.ReasonNotAcknowledged,
+				"the transaction was not acknowledged by a majority in time", ctx.Err())
+		}
+	}
+}
+
+// WaitPrimary waits for a primary whose term is opened.
+func (watch *Watch) WaitPrimary(ctx context.Context) (view.Slot, error) {
+	for {
+		current, changed := watch.Next()
+		if primary, ok := current.Ready(); ok {
+			return primary, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return view.Slot{}, fault.Refuse(fault.CodeUnavailable, fault.ReasonNoPrimary, "no primary within the deadline")
+		}
+	}
+}
