Add the command line, the demo with faults and the history check

Cause: nothing could be run or measured by an operator.

Change: cliapp (serve, ticket, status, events, demo), load (open-loop callers with a recorded history), check (lost, doubled, stale and mixed), links (delays and cuts). view no longer changes a slice that an earlier view shares; the race detector found that in TestWholePath.

The partition demo fails: the audit read is never acknowledged; to be found next.

--- /dev/null
+++ b/cliapp/demo.go
@@ -0,0 +1,143 @@
+package cliapp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleydoor/bramleydoor/demo"
+)
+
+// Defaults of the demo.
+const (
+	demoDuration = 20 * time.Second
+	demoCallers  = 90
+	demoRate     = 5.0
+	demoSeed     = 1
+	startTimeout = 30 * time.Second
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run five VMs and stand-ins for the platform in one process, with load and faults",
+		Flags: []cli.Flag{
+			stringFlag("deployment", "authority", strings.Join(slices.Sorted(maps.Keys(demo.Deployments)), ", ")),
+			durationFlag("duration", demoDuration, "how long the load runs"),
+			&cli.Uint64Flag{Name: "seed", Value: demoSeed, Usage: "seed of load, lag and faults"},
+			stringFlag("faults", "none", strings.Join(demo.Faults, ", ")),
+			intFlag("callers", demoCallers, "number of callers"),
+			&cli.FloatFlag{Name: "rate", Value: demoRate, Usage: "requests per second and caller"},
+			&cli.BoolFlag{Name: "hold", Usage: "keep the system up for a client until interrupted"},
+			stringFlag("listen", "127.0.0.1:6431", "address of the first VM; the others have the next ports"),
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object"},
+			&cli.BoolFlag{Name: "log", Usage: "print the VMs' log to the error output"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, command *cli.Command) error {
+	deployment, ok := demo.Deployments[command.String("deployment")]
+	if !ok {
+		return badInput("--deployment %q is not one of %v", command.String("deployment"), slices.Sorted(maps.Keys(demo.Deployments)))
+	}
+	if !slices.Contains(demo.Faults, command.String("faults")) {
+		return badInput("--faults %q is not one of %v", command.String("faults"), demo.Faults)
+	}
+	if command.Int("callers") < 1 || command.Float("rate") <= 0 || command.Duration("duration") <= 0 {
+		return badInput("--callers, --rate and --duration must be more than zero")
+	}
+	root := command.Root()
+	cluster := &demo.Cluster{Deployment: deployment, Seed: command.Uint64("seed"), Listen: command.String("listen")}
+	if command.Bool("log") {
+		cluster.Logger = logrus.New()
+		cluster.Logger.SetOutput(root.ErrWriter)
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := cluster.Start(startCtx); err != nil {
+		return err
+	}
+	defer cluster.Stop()
+	if err := cluster.Ready(startCtx); err != nil {
+		return err
+	}
+	if command.Bool("hold") {
+		return holdDemo(ctx, root.Writer, cluster)
+	}
+	run := &demo.Demo{
+		Cluster:  cluster,
+		Duration: command.Duration("duration"),
+		Faults:   command.String("faults"),
+		Callers:  command.Int("callers"),
+		Rate:     command.Float("rate"),
+	}
+	if isTerminal(root.ErrWriter) {
+		run.Progress = root.ErrWriter
+	}
+	result, err := run.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := printResult(command, result); err != nil {
+		return err
+	}
+	if !result.IsClean() {
+		return errors.New("an invariant was broken")
+	}
+	return nil
+}
+
+func holdDemo(ctx context.Context, writer io.Writer, cluster *demo.Cluster) error {
+	fmt.Fprintln(writer, "The system is up. Connect with any PostgreSQL client to any VM, for example:")
+	name := cluster.Deployment.GroupNames()[0]
+	for _, node := range cluster.VMs {
+		fmt.Fprintf(writer, "  postgres://clerk@%s/%s?sslmode=disable\n", node.Address(), name)
+	}
+	fmt.Fprintln(writer, "The stand-in knows statements like INSERT INTO t (key, value) VALUES ('a', '1') and SELECT value FROM t WHERE key = 'a'.")
+	fmt.Fprintln(writer, "Interrupt to end.")
+	<-ctx.Done()
+	return nil
+}
+
+func printResult(command *cli.Command, result demo.Result) error {
+	writer := command.Root().Writer
+	if command.Bool("json") {
+		return printJSON(writer, result)
+	}
+	fmt.Fprintf(writer, "%s, seed %d, faults %s %v\n", result.Deployment, result.Seed, result.Faults, result.FaultCounts)
+	fmt.Fprintf(writer, "reads served by replicas: %.1f%% (of a stated age: %.1f%%)\n", 100*result.ReplicaReadShare, 100*result.AgedReplicaShare)
+	fmt.Fprintf(writer, "failover gap: median %d ms, longest %d ms, of %d\n", result.FailoverGapMs.P50, result.FailoverGapMs.Max, result.FailoverGapMs.Count)
+	fmt.Fprintf(writer, "answered %d, failed %d; acknowledged writes %d, unknown %d\n", result.Load.Done, result.Load.Failed, result.Acknowledged, result.Unknown)
+	for _, kind := range slices.Sorted(maps.Keys(result.Load.Latencies)) {
+		latency := result.Load.Latencies[kind]
+		fmt.Fprintf(writer, "%s: %d, median %d us, 99%% %d us, longest %d us\n", kind, latency.Count, latency.P50, latency.P99, latency.Max)
+	}
+	printCounts(writer, "errors", toInt64(result.Load.Errors))
+	printCounts(writer, "refusals", result.Refusals)
+	printCounts(writer, "retries", result.Retries)
+	printCounts(writer, "reads", result.Routes)
+	fmt.Fprintf(writer, "\nlost %d, doubled %d, stale reads %d, mixed transactions %d, connection limit breaches %d\n",
+		result.Lost, result.Doubled, result.StaleReads, result.Mixed, result.Breaches)
+	for _, finding := range result.Findings {
+		fmt.Fprintln(writer, "  "+finding)
+	}
+	return nil
+}
+
+func toInt64(counts map[string]int) map[string]int64 {
+	converted := make(map[string]int64)
+	for name, count := range counts {
+		converted[name] = int64(count)
+	}
+	return converted
+}
--- /dev/null
+++ b/cliapp/ticket.go
@@ -0,0 +1,204 @@
+package cliapp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleydoor/bramleydoor/httpkv"
+	"github.com/bramleydoor/bramleydoor/relay"
+	"github.com/bramleydoor/bramleydoor/store"
+	"github.com/bramleydoor/bramleydoor/ticket"
+)
+
+func ticketCommand() *cli.Command {
+	storeFlag := stringFlag("store", "", "URL of the platform's store")
+	return &cli.Command{
+		Name:  "ticket",
+		Usage: "write, check and submit change tickets",
+		Commands: []*cli.Command{
+			{Name: "new", Usage: "print a ticket to fill in", Flags: []cli.Flag{storeFlag}, Action: ticketNew},
+			{Name: "check", Usage: "check a ticket; with a store, against its configuration", ArgsUsage: "FILE", Flags: []cli.Flag{storeFlag}, Action: ticketCheck},
+			{Name: "submit", Usage: "have a ticket accepted", ArgsUsage: "FILE", Flags: []cli.Flag{storeFlag}, Action: ticketSubmit},
+			{Name: "list", Usage: "list accepted tickets", Flags: []cli.Flag{storeFlag}, Action: ticketList},
+			{Name: "show", Usage: "print an accepted ticket", ArgsUsage: "NUMBER", Flags: []cli.Flag{storeFlag}, Action: ticketShow},
+			{Name: "diff", Usage: "print what a ticket would change", ArgsUsage: "FILE", Flags: []cli.Flag{storeFlag}, Action: ticketDiff},
+		},
+	}
+}
+
+// Call rates of an operator's command, which reads many keys at once.
+const (
+	operatorReadRate  = 500
+	operatorWriteRate = 10
+)
+
+func openStore(command *cli.Command) (store.Store, error) {
+	address := command.String("store")
+	if address == "" {
+		return nil, badInput("--store is missing")
+	}
+	return &httpkv.Client{Base: address, ReadRate: operatorReadRate, WriteRate: operatorWriteRate}, nil
+}
+
+// readTicket reads and checks the ticket file that the command names.
+func readTicket(command *cli.Command) (ticket.Ticket, error) {
+	name := command.Args().First()
+	if name == "" {
+		return ticket.Ticket{}, badInput("the ticket's FILE is missing")
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return ticket.Ticket{}, &inputError{err}
+	}
+	found, err := ticket.Decode(text)
+	if err != nil {
+		return found, &inputError{errors.Wrapf(err, "%s", name)}
+	}
+	return found, nil
+}
+
+func printJSON(writer io.Writer, value any) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func ticketNew(ctx context.Context, command *cli.Command) error {
+	number := uint64(1)
+	if command.String("store") != "" {
+		kv, err := openStore(command)
+		if err != nil {
+			return err
+		}
+		state, _, err := relay.Load(ctx, kv)
+		if err != nil {
+			return err
+		}
+		number = state.Number + 1
+	}
+	slot := func(name string, port int) ticket.Slot {
+		return ticket.Slot{
+			Name:    name,
+			Address: "192.0.2.1:" + strconv.Itoa(port),
+			Control: "192.0.2.1:" + strconv.Itoa(port+1),
+			Zone:    "zone1",
+		}
+	}
+	return printJSON(command.Root().Writer, ticket.Ticket{
+		Number:    number,
+		ID:        "change-" + strconv.FormatUint(number, 10),
+		Note:      "what this change is for",
+		Upstreams: []ticket.Upstream{{Name: "ledger1"}},
+		Rules:     []ticket.Rule{ticket.Rule{Name: "usual"}.WithDefaults()},
+		Groups: []ticket.Group{{
+			Name: "ledger1.db1", Upstream: "ledger1", ConnectionLimit: 25, Rule: "usual",
+			Slots: []ticket.Slot{slot("a", 5432), slot("b", 5442), slot("c", 5452)},
+		}},
+	})
+}
+
+func ticketCheck(ctx context.Context, command *cli.Command) error {
+	found, err := readTicket(command)
+	if err != nil {
+		return err
+	}
+	if command.String("store") != "" {
+		kv, err := openStore(command)
+		if err != nil {
+			return err
+		}
+		state, _, err := relay.Load(ctx, kv)
+		if err != nil {
+			return err
+		}
+		if _, err := state.With(found); err != nil {
+			return &inputError{errors.Wrapf(err, "%s", command.Args().First())}
+		}
+	}
+	fmt.Fprintf(command.Root().Writer, "ticket %d %q is in order\n", found.Number, found.ID)
+	return nil
+}
+
+func ticketSubmit(ctx context.Context, command *cli.Command) error {
+	found, err := readTicket(command)
+	if err != nil {
+		return err
+	}
+	kv, err := openStore(command)
+	if err != nil {
+		return err
+	}
+	if err := relay.Submit(ctx, kv, found); err != nil {
+		return err
+	}
+	fmt.Fprintf(command.Root().Writer, "ticket %d %q is accepted\n", found.Number, found.ID)
+	return nil
+}
+
+func ticketList(ctx context.Context, command *cli.Command) error {
+	kv, err := openStore(command)
+	if err != nil {
+		return err
+	}
+	_, tickets, err := relay.Load(ctx, kv)
+	if err != nil {
+		return err
+	}
+	for _, found := range tickets {
+		fmt.Fprintf(command.Root().Writer, "%d\t%s\t%s\n", found.Number, found.ID, found.Note)
+	}
+	return nil
+}
+
+func ticketShow(ctx context.Context, command *cli.Command) error {
+	number, err := strconv.ParseUint(command.Args().First(), 10, 64)
+	if err != nil {
+		return badInput("NUMBER %q is not a ticket's number", command.Args().First())
+	}
+	kv, err := openStore(command)
+	if err != nil {
+		return err
+	}
+	found, err := kv.Get(ctx, relay.Key(number))
+	if err != nil {
+		return err
+	}
+	if found.Version == 0 {
+		return errors.Newf("ticket %d was not accepted", number)
+	}
+	shown, err := ticket.Decode(found.Value)
+	if err != nil {
+		return err
+	}
+	return printJSON(command.Root().Writer, shown)
+}
+
+func ticketDiff(ctx context.Context, command *cli.Command) error {
+	found, err := readTicket(command)
+	if err != nil {
+		return err
+	}
+	kv, err := openStore(command)
+	if err != nil {
+		return err
+	}
+	before, _, err := relay.Load(ctx, kv)
+	if err != nil {
+		return err
+	}
+	after, err := before.With(found)
+	if err != nil {
+		return err
+	}
+	for _, change := range ticket.Diff(before, after) {
+		fmt.Fprintln(command.Root().Writer, change)
+	}
+	return nil
+}
--- a/route/route.go
+++ b/route/route.go
@@ -29,6 +29,7 @@
 	PrimaryWrite   Reason = "primaryWrite"
 	PrimaryBehind  Reason = "primaryReplicasBehind"
 	PrimaryNone    Reason = "primaryNoReplica"
+	PrimaryAged    Reason = "primaryNoReplicaOfAge"
 	PrimaryBusy    Reason = "primaryReplicasBusy"
 	PrimaryRefused Reason = "primaryReplicaRefusedWrite"
 	Nowhere        Reason = "nowhere"
@@ -133,6 +134,8 @@
 		return Choice{Slot: replica.Report.Slot, Floor: floor, Reason: Replica}
 	case replicas > 0 && query.ReplicaWait > 0:
 		return Choice{Floor: floor, Reason: WaitReplica}
+	case hasPrimary && query.Staleness > 0:
+		return Choice{Slot: primary.Report.Slot, Floor: floor, Reason: PrimaryAged}
 	case hasPrimary && replicas > 0:
 		return Choice{Slot: primary.Report.Slot, Floor: floor, Reason: PrimaryBehind}
 	case hasPrimary:
--- a/view/view.go
+++ b/view/view.go
@@ -198,13 +198,7 @@
 func (view View) settle() View {
 	view.Acked = posn.Max(view.Acked, quorum.Acked(view.Size, view.Term(), view.reports()))
 	view = view.withOpening()
-	for i, slot := range view.Slots {
-		at, floor := view.proof(slot.Seen)
-		if at.After(slot.ProvenAt) {
-			view.Slots[i].ProvenAt, view.Slots[i].ProvenFloor = at, floor
-		}
-	}
-	return view
+	return view.withProofs()
 }
 
 func (view View) withOpening() View {
@@ -220,6 +214,22 @@
 	return view
 }
 
+func (view View) withProofs() View {
+	isShared := true
+	for i, slot := range view.Slots {
+		at, floor := view.proof(slot.Seen)
+		if !at.After(slot.ProvenAt) {
+			continue
+		}
+		if isShared {
+			// Other goroutines read the slice of the view before.
+			view.Slots, isShared = slices.Clone(view.Slots), false
+		}
+		view.Slots[i].ProvenAt, view.Slots[i].ProvenFloor = at, floor
+	}
+	return view
+}
+
 // proof returns the latest time whose floor is covered by held.
 func (view View) proof(held posn.Position) (time.Time, posn.Position) {
 	for i := len(view.samples) - 1; i >= 0; i-- {
