Let a slot grant each term once, and pass over the suspect in a promotion

Cause: three faults. (1) A keeper that still reached a primary cut off from its group promoted that same slot again and again, since its log was the longest; the partition demo went from term 2 to 13 in one fault. (2) A read at 1/79 was never acknowledged after the VM had missed the openings of terms 2 to 12, although 1/79 had been acknowledged in its own term. (3) Two keepers that chose the same term could both find a majority of seals for it; the schedule model found slots a and b both leading term 2.

Change: Elect avoids the suspect if the others are a majority; a view remembers the acknowledged position of each earlier term; a seal is granted once per term and only grants count. The stand-in counts dropped connections as closed.

--- a/entry/session.go
+++ b/entry/session.go
@@ -235,7 +235,7 @@
 	}
 	session.server.Stats.Refuse(failure.Reason)
 	if failure.Verdict == fault.Unknown {
-		session.server.Events.Write(event.UncertainOutcome, event.Fields{"database": session.database, "reason": string(failure.Reason)})
+		session.server.Events.Write(event.UncertainOutcome, event.Fields{"database": session.database, "reason": string(failure.Reason), "error": failure.Error()})
 	}
 	if !req.hasSync {
 		session.isSkipping = true
--- a/event/event.go
+++ b/event/event.go
@@ -61,7 +61,7 @@
 	{CallerRefused, logrus.InfoLevel, "Caller refused", "A connection was refused. The counters tell how often, by reason.", []string{"reason", "remote"}, "0.1"},
 	{CallerBroke, logrus.InfoLevel, "Caller broke the protocol", "Malformed, oversized or slow input; only that caller was closed.", []string{"error", "remote"}, "0.1"},
 	{TokenIgnored, logrus.WarnLevel, "Session token ignored", "A forged, damaged or foreign token; the caller got a confirmed floor. Many of them after a key change mean that an old key was removed too early.", []string{"error", "database"}, "0.1"},
-	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"database", "reason"}, "0.1"},
+	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"database", "reason", "error"}, "0.1"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The keeper has not heard from the primary for longer than its delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
 	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term"}, "0.1"},
 	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "tookMs"}, "0.1"},
--- a/fakedb/control.go
+++ b/fakedb/control.go
@@ -114,10 +114,12 @@
 		return
 	}
 	slot.mu.Lock()
-	if term > slot.sealed {
+	granted := term > slot.sealed
+	if granted {
 		slot.demote(term)
 	}
 	report := slot.report()
+	report.Granted = granted
 	slot.mu.Unlock()
 	writeJSON(w, report)
 }
--- a/fakedb/fakedb.go
+++ b/fakedb/fakedb.go
@@ -134,10 +134,13 @@
 	return true
 }
 
-func (slot *Slot) release() {
+// release takes a connection out of the count, unless dropConns did already.
+func (slot *Slot) release(drops int) {
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
-	slot.open--
+	if slot.drops == drops {
+		slot.open--
+	}
 }
 
 // entry is one committed transaction in the log.
@@ -173,6 +176,7 @@
 	changed chan struct{}
 	locks   map[string]*transaction
 	open    int
+	drops   int
 	unlock  *sync.Cond
 	conns   map[net.Conn]struct{}
 
--- a/fakedb/faults.go
+++ b/fakedb/faults.go
@@ -52,7 +52,10 @@
 	slot.unlock.Broadcast()
 }
 
+// dropConns closes all connections, and counts them as closed from now on.
 func (slot *Slot) dropConns() {
+	slot.drops++
+	slot.open = 0
 	for conn := range slot.conns {
 		_ = conn.Close()
 	}
--- a/fakedb/session.go
+++ b/fakedb/session.go
@@ -43,12 +43,15 @@
 		return
 	}
 	slot.waitStall()
+	slot.mu.Lock()
+	drops := slot.drops
+	slot.mu.Unlock()
 	if !slot.group.admit(slot) {
 		backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "too many connections"})
 		_ = backend.Flush()
 		return
 	}
-	defer slot.release()
+	defer slot.release(drops)
 	if slot.group.ConnectCost > 0 {
 		time.Sleep(slot.group.ConnectCost)
 	}
--- a/group/group.go
+++ b/group/group.go
@@ -28,7 +28,8 @@
 	// returns when that differs from after, or when wait has passed.
 	Progress(ctx context.Context, slot string, after posn.Position, wait time.Duration) ([]quorum.Report, error)
 	// Seal makes the slot refuse everything from terms below term. The report
-	// is made after the seal. A slot that sealed a higher term reports that.
+	// is made after the seal; Granted says that this call raised the term. A slot
+	// that sealed the same or a higher term changes nothing and reports that.
 	Seal(ctx context.Context, slot string, term uint64) (quorum.Report, error)
 	// Promote makes the slot the primary of the term that it sealed. It opens
 	// the term with an entry of its own. It fails if the slot sealed another.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -113,7 +113,7 @@
 	if !detect.Agreed(current.Term(), opinions, live) {
 		return
 	}
-	keeper.promote(ctx, current)
+	keeper.promote(ctx, current, slot.Report.Slot)
 }
 
 func (keeper *Keeper) name() string { return keeper.Watch.Group().Name }
@@ -130,7 +130,7 @@
 }
 
 // promote makes one attempt at a new term.
-func (keeper *Keeper) promote(ctx context.Context, current view.View) {
+func (keeper *Keeper) promote(ctx context.Context, current view.View, suspect string) {
 	if !keeper.takeLease(ctx) {
 		keeper.rest(ctx)
 		return
@@ -138,7 +138,7 @@
 	start := keeper.Clock.Now()
 	term := current.Term() + 1
 	keeper.Events.Write(event.PromotionBegun, event.Fields{"group": keeper.name(), "term": term})
-	winner, err := keeper.elect(ctx, term)
+	winner, err := keeper.elect(ctx, term, suspect)
 	if err != nil {
 		keeper.Events.Write(event.PromotionFailed, event.Fields{"group": keeper.name(), "term": term, "error": err.Error()})
 		// The reports of the seals tell of a higher term, if there is one.
@@ -175,12 +175,12 @@
 }
 
 // elect seals term at the slots and promotes the best of a majority.
-func (keeper *Keeper) elect(ctx context.Context, term uint64) (quorum.Report, error) {
+func (keeper *Keeper) elect(ctx context.Context, term uint64, suspect string) (quorum.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, sealWait)
 	defer cancel()
 	slots := keeper.Watch.Group().Slots
 	seals := keeper.seal(ctx, slots, term)
-	winner, ok := quorum.Elect(len(slots), term, seals)
+	winner, ok := quorum.Elect(len(slots), term, seals, suspect)
 	if !ok {
 		return quorum.Report{}, errors.Newf("%d of %d slots sealed term %d", len(seals), len(slots), term)
 	}
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -31,6 +31,9 @@
 	Primary bool `json:"primary"`
 	// Start is the position of the entry that opened Sealed, for a primary.
 	Start posn.Position `json:"start"`
+	// Granted is set in the answer to a seal that raised Sealed. A slot grants
+	// each term once, so two keepers can't both find a majority for it.
+	Granted bool `json:"granted,omitempty"`
 	// Inherited is the position of the entry before Start, for a primary.
 	Inherited posn.Position `json:"inherited"`
 }
@@ -69,20 +72,38 @@
 }
 
 // Elect returns the slot to promote in term, given the reports that slots made
-// with their seal; false without a majority of seals for exactly that term.
-func Elect(slots int, term uint64, seals []Report) (Report, bool) {
-	var best Report
-	count := 0
+// with their seal; false without a majority of grants for exactly that term. A
+// slot that had sealed the term before did so for another keeper, or for an
+// answer that was lost; the next term is free.
+//
+// The slot to avoid is the suspected primary. It may answer the keeper and yet
+// be cut off from its group; its log is then the longest, and it would be
+// promoted again and again. It is passed over if the others are a majority by
+// themselves, since one of those holds all that was acknowledged.
+func Elect(slots int, term uint64, seals []Report, avoid string) (Report, bool) {
+	var sealed, others []Report
 	for _, report := range seals {
-		if report.Sealed != term {
+		if report.Sealed != term || !report.Granted {
 			continue
 		}
-		count++
-		if best.Slot == "" || isBetter(report, best) {
+		sealed = append(sealed, report)
+		if report.Slot != avoid {
+			others = append(others, report)
+		}
+	}
+	if len(others) >= Majority(slots) {
+		sealed = others
+	}
+	if len(sealed) < Majority(slots) {
+		return Report{}, false
+	}
+	best := sealed[0]
+	for _, report := range sealed[1:] {
+		if isBetter(report, best) {
 			best = report
 		}
 	}
-	return best, count >= Majority(slots)
+	return best, true
 }
 
 // isBetter breaks ties by name, so that two keepers with the same reports
--- a/view/view.go
+++ b/view/view.go
@@ -58,6 +58,8 @@
 	Slots []Slot
 	// Acked is the latest acknowledged position.
 	Acked posn.Position
+	// settled are the latest acknowledged positions of earlier terms.
+	settled []posn.Position
 	// openings are the reports of primaries whose term is known to be opened,
 	// latest last.
 	openings []quorum.Report
@@ -171,8 +173,7 @@
 			slot.Seen = posn.Max(slot.Seen, report.Held)
 		})
 	}
-	next.Acked = posn.Max(next.Acked, quorum.Acked(next.Size, reports[0].Sealed, reports))
-	return next.settle()
+	return next.withAcked(quorum.Acked(next.Size, reports[0].Sealed, reports)).settle()
 }
 
 // WithFloor returns the view after a majority's reports, all asked for after
@@ -196,11 +197,24 @@
 // settle derives what follows from the reports: acknowledgement, openings and
 // proofs of age.
 func (view View) settle() View {
-	view.Acked = posn.Max(view.Acked, quorum.Acked(view.Size, view.Term(), view.reports()))
+	view = view.withAcked(quorum.Acked(view.Size, view.Term(), view.reports()))
 	view = view.withOpening()
 	return view.withProofs()
 }
 
+// withAcked returns the view after position was found acknowledged.
+func (view View) withAcked(position posn.Position) View {
+	if !position.AtLeast(view.Acked) {
+		return view
+	}
+	if position.Term > view.Acked.Term && !view.Acked.IsZero() {
+		kept := view.settled[max(0, len(view.settled)-maxOpenings+1):]
+		view.settled = append(slices.Clone(kept), view.Acked)
+	}
+	view.Acked = position
+	return view
+}
+
 func (view View) withOpening() View {
 	primary, ok := view.Ready()
 	if !ok {
@@ -249,6 +263,11 @@
 		}
 		return quorum.FateOpen
 	}
+	for _, settled := range view.settled {
+		if settled.Term == position.Term && settled.AtLeast(position) {
+			return quorum.FateKept
+		}
+	}
 	for _, opening := range view.openings {
 		if opening.Sealed <= position.Term {
 			continue
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -248,7 +248,8 @@
 		case <-changed:
 		case <-ctx.Done():
 			return fault.Lost(fault.ReasonNotAcknowledged,
-				"the transaction was not acknowledged by a majority in time", ctx.Err())
+				"the transaction was not acknowledged by a majority in time",
+				errors.Newf("position %s, acknowledged %s", position, current.Acked))
 		}
 	}
 }
