Prove request keys, the protocol, planned stops and faults end to end

Cause: new end-to-end tests found four faults. (1) A batch that named one portal several times was judged by its last statement, so a batch of writes went to a replica first. (2) After a replica refused such a batch, the beginning of its answer was sent with that of the primary, and pgx lost step. (3) "ON CONFLICT DO UPDATE" counted as a statement that may commit, so a lost transaction was called unknown where notRun was true. (4) A VM that stopped waited for the statements of callers that had gone.

Change: executed statements are noted as they arrive, the answer is taken back before the next slot is asked, a single statement commits only by its first word, and a stop breaks off upstream waits. A request with a key waits for the next primary if a former one refused it.

--- a/demo/run.go
+++ b/demo/run.go
@@ -359,3 +359,6 @@
 	}
 	return Gap{Count: len(gaps), P50: histogram.ValueAtQuantile(50), Max: histogram.Max()}
 }
+
+// Ops returns the history's operations so far.
+func (demo *Demo) Ops() []check.Op { return demo.load.Ops() }
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -30,7 +30,7 @@
 	found.parse.ParameterOIDs = append([]uint32(nil), message.ParameterOIDs...)
 	found.upstream = upstreamName(message)
 	found.command, _ = parseCommand(message.Query)
-	found.mayCommit = committing.MatchString(message.Query)
+	found.mayCommit = mayCommit(message.Query)
 	return found
 }
 
@@ -246,6 +246,10 @@
 	case *pgproto3.Execute:
 		copied := *message
 		session.addToBatch(&copied, 0)
+		// A later Bind in the batch may give the portal's name to another.
+		if found := session.portals[message.Portal]; found != nil {
+			session.executed = append(session.executed, found)
+		}
 	case *pgproto3.Close:
 		copied := *message
 		session.addToBatch(&copied, 0)
@@ -294,24 +298,14 @@
 func (session *session) takeBatch(end pgproto3.FrontendMessage) *request {
 	_, hasSync := end.(*pgproto3.Sync)
 	req := &request{messages: append(session.batch, end), hasSync: hasSync, kind: kindRead, bytes: session.batchBytes}
-	for _, message := range session.batch {
-		var found *statement
-		switch message := message.(type) {
-		case *pgproto3.Execute:
-			found = session.portals[message.Portal]
-		case *pgproto3.Parse:
-			// A statement that is only prepared may be so on any slot.
-			continue
-		}
-		if found == nil {
-			continue
-		}
+	for _, found := range session.executed {
 		req.text = found.parse.Query
 		req.mayCommit = req.mayCommit || found.mayCommit
 		if found.kind != kindRead || session.isKnownWrite(found.parse.Query) {
 			req.kind = found.kind
 		}
 	}
+	session.executed = nil
 	session.batch, session.batchBytes = nil, 0
 	return req
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -76,6 +76,7 @@
 			return nil
 		case errors.Is(err, errRefusedWrite):
 			session.learnWrite(req.text)
+			session.output.takeBack()
 			session.holder.Stats.Route(routeRefused)
 			return session.serveWrite(ctx, req)
 		case errors.Is(err, errBehind):
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -176,6 +176,10 @@
 // since nothing more is read meanwhile.
 func (ex *exchange) stream() error {
 	output := &ex.session.output
+	if ex.session.isHolding && output.isHeldFull() {
+		// The rest is read and dropped; the request is refused as a whole.
+		output.buffer = output.buffer[:output.safe+holdBytes+1]
+	}
 	if ex.isEnding && !output.isHeldFull() {
 		return nil
 	}
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -57,6 +57,8 @@
 	case errors.As(err, &upstream) && upstream.Code == codeUniqueViolation:
 		// Another transaction with the key was first; this one is undone.
 		return keyUsed("")
+	case errors.As(err, &upstream) && upstream.Code == fault.CodeReadOnly:
+		return err
 	case errors.As(err, &upstream):
 		return &fault.Error{Verdict: fault.NotRun, Code: upstream.Code, Reason: fault.ReasonKeyUsed, Message: "the request key could not be recorded: " + upstream.Message}
 	}
@@ -111,6 +113,10 @@
 	position, value, err := session.runKeyed(conn, req)
 	if err != nil {
 		session.holder.Pool.Discard(conn)
+		if isReadOnlyRefusal(err) && session.holder.AwaitChange(ctx, fault.ReasonNoPrimary) {
+			session.output.takeBack()
+			return session.serveKeyed(ctx, req)
+		}
 		return keyedFailure(err)
 	}
 	session.holder.Pool.Release(conn, session.who())
@@ -144,9 +150,10 @@
 	}
 	session.isHolding = true
 	defer func() { session.isHolding = false }()
-	session.pinned = conn
 	outcome, err := session.exchange(conn, req, posn.Position{})
-	session.pinned = nil
+	if err == nil && session.output.isHeldFull() {
+		err = fault.Refuse(fault.CodeUnsupported, fault.ReasonTooLarge, "the answer to a request with a key is too large")
+	}
 	if err != nil {
 		return position, "", &notDispatchedError{err}
 	}
@@ -164,6 +171,13 @@
 	return conn.Position, "", nil
 }
 
+// isReadOnlyRefusal reports whether a slot refused a write because it does not
+// lead. It has run nothing then, and the transaction can't commit there.
+func isReadOnlyRefusal(err error) bool {
+	var upstream *pgconn.PgError
+	return errors.Is(err, errRefusedWrite) || errors.As(err, &upstream) && upstream.Code == fault.CodeReadOnly
+}
+
 // notDispatchedError marks a failure before the COMMIT was sent: the upstream
 // rolls back when the connection closes.
 type notDispatchedError struct{ cause error }
--- a/entry/kind.go
+++ b/entry/kind.go
@@ -36,9 +36,19 @@
 	"PREPARE": kindRefused, "DEALLOCATE": kindRefused, "EXECUTE": kindRefused,
 }
 
-// committing matches words that may end a transaction inside a longer text, or
-// inside a procedure. Matching too much only makes a verdict more careful.
-var committing = regexp.MustCompile(`(?i)\b(commit|end|call|do|prepare)\b`)
+// committing matches words that may end a transaction inside a longer text.
+// Matching too much only makes a verdict more careful.
+var committing = regexp.MustCompile(`(?i)\b(commit|end|prepare)\b`)
+
+// mayCommit reports whether running the text inside a transaction could commit
+// it. A single statement does so only by its first word: procedures can't end
+// the transaction that they are called in.
+func mayCommit(text string) bool {
+	if hasMore(text) {
+		return committing.MatchString(text)
+	}
+	return classify(text) == kindCommit || firstWord(text) == "PREPARE"
+}
 
 var readOnlyMode = regexp.MustCompile(`(?i)\bread\s+only\b`)
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -146,6 +146,7 @@
 	server.stopping = true
 	for _, session := range server.sessions {
 		_ = session.conn.Close()
+		session.breakOff()
 	}
 }
 
--- a/entry/session.go
+++ b/entry/session.go
@@ -49,6 +49,8 @@
 	portals    map[string]*statement
 	batch      []pgproto3.FrontendMessage
 	batchBytes int
+	// executed are the statements that the batch executes, in order.
+	executed []*statement
 
 	settings settings
 	// outer are the settings that hold again when SET LOCAL ends.
@@ -177,7 +179,7 @@
 
 // failBatch answers an error and skips to the Sync.
 func (session *session) failBatch(err error) error {
-	session.batch, session.batchBytes = nil, 0
+	session.batch, session.batchBytes, session.executed = nil, 0, nil
 	session.isSkipping = true
 	return session.answerError(fault.From(err), false)
 }
@@ -205,7 +207,7 @@
 	req := &request{
 		messages:  []pgproto3.FrontendMessage{&pgproto3.Query{String: text}},
 		kind:      classify(text),
-		mayCommit: committing.MatchString(text),
+		mayCommit: mayCommit(text),
 		isSimple:  true,
 		hasSync:   true,
 		text:      text,
@@ -275,6 +277,18 @@
 	session.active = conn
 }
 
+// breakOff ends a wait for the upstream, whatever becomes of the request.
+func (session *session) breakOff() {
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	if session.stopWait != nil {
+		session.stopWait()
+	}
+	if session.active != nil {
+		session.active.Close()
+	}
+}
+
 func (session *session) cancel() {
 	session.mu.Lock()
 	defer session.mu.Unlock()
--- a/fakedb/fakedb.go
+++ b/fakedb/fakedb.go
@@ -179,6 +179,9 @@
 	drops   int
 	unlock  *sync.Cond
 	conns   map[net.Conn]struct{}
+	// sessions are for cancel requests.
+	sessions map[uint32]*session
+	lastPID  uint32
 
 	address, control string
 	listeners        []net.Listener
--- a/fakedb/forms.go
+++ b/fakedb/forms.go
@@ -63,6 +63,8 @@
 		{id: "writeAdd", pattern: pattern(`update_IDENT_set_value = value \+ VALUE_where_key = VALUE SUFFIX`), columns: []string{"value"}, run: add},
 		{id: "writeSet", pattern: pattern(`update_IDENT_set_value = VALUE_where_key = VALUE SUFFIX`), columns: []string{"value"}, run: update},
 		{id: "writeDelete", pattern: pattern(`delete_from_IDENT_where_key = VALUE SUFFIX`), columns: []string{"value"}, run: remove},
+		{id: "copyIn", pattern: pattern(`copy_IDENT(?:\s*\([^)]*\))?_from_stdin.*`), run: copyIn},
+		{id: "copyOut", pattern: pattern(`copy_IDENT_to_stdout.*`), run: copyOut},
 		{id: "begin", pattern: pattern(`(?:begin|start\s+transaction)(.*)`), run: begin},
 		{id: "commit", pattern: pattern(`(?:commit|end)(?:\s+transaction|\s+work)?`), endsTransaction: true, run: commit},
 		{id: "rollback", pattern: pattern(`(?:rollback|abort)(?:\s+transaction|\s+work)?`), endsTransaction: true, run: rollback},
@@ -215,15 +217,72 @@
 	return result{tag: fmt.Sprintf("SELECT %d", rows), stream: stream}, nil
 }
 
-func sleep(_ *session, args, params []string) (result, error) {
+func sleep(session *session, args, params []string) (result, error) {
 	seconds, err := strconv.ParseFloat(resolve(args[0], params), 64)
 	if err != nil {
 		return result{}, pgError{"22P02", "not a number"}
 	}
-	time.Sleep(time.Duration(seconds * float64(time.Second)))
+	select {
+	case <-session.slot.group.Clock.After(time.Duration(seconds * float64(time.Second))):
+	case <-session.cancelled:
+		return result{}, pgError{"57014", "canceling statement due to user request"}
+	}
 	return result{tag: "SELECT 1", rows: [][][]byte{row("")}}, nil
 }
 
+// copyIn takes rows in the text format: key, tab, value.
+func copyIn(session *session, args, _ []string) (result, error) {
+	session.backend.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0, 0}})
+	if err := session.backend.Flush(); err != nil {
+		return result{}, err
+	}
+	var text []byte
+	for {
+		message, err := session.backend.Receive()
+		if err != nil {
+			return result{}, err
+		}
+		switch message := message.(type) {
+		case *pgproto3.CopyData:
+			text = append(text, message.Data...)
+		case *pgproto3.CopyFail:
+			return result{}, pgError{"57014", "COPY from stdin failed: " + message.Message}
+		case *pgproto3.CopyDone:
+			return copyRows(session, args[0], string(text))
+		}
+	}
+}
+
+func copyRows(session *session, table, text string) (result, error) {
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	for _, line := range lines {
+		key, value, _ := strings.Cut(line, "\t")
+		if err := session.tx.lock(table, key); err != nil {
+			return result{}, err
+		}
+		session.tx.put(write{table: table, key: key, value: value})
+	}
+	return result{tag: fmt.Sprintf("COPY %d", len(lines))}, nil
+}
+
+func copyOut(session *session, args, _ []string) (result, error) {
+	found, err := readAll(session, args, nil)
+	if err != nil {
+		return found, err
+	}
+	rows := found.rows
+	found.rows, found.tag = nil, fmt.Sprintf("COPY %d", len(rows))
+	found.stream = func() error {
+		session.backend.Send(&pgproto3.CopyOutResponse{ColumnFormatCodes: []uint16{0, 0}})
+		for _, row := range rows {
+			session.backend.Send(&pgproto3.CopyData{Data: []byte(string(row[0]) + "\t" + string(row[1]) + "\n")})
+		}
+		session.backend.Send(&pgproto3.CopyDone{})
+		return nil
+	}
+	return found, nil
+}
+
 func insert(session *session, args, params []string) (result, error) {
 	table, key, v := args[0], resolve(args[1], params), resolve(args[2], params)
 	if err := session.tx.lock(table, key); err != nil {
--- a/fakedb/session.go
+++ b/fakedb/session.go
@@ -14,6 +14,7 @@
 func (slot *Slot) init() {
 	if slot.conns == nil {
 		slot.conns = make(map[net.Conn]struct{})
+		slot.sessions = make(map[uint32]*session)
 		slot.changed = make(chan struct{})
 		slot.unlock = newCond(&slot.mu)
 	}
@@ -39,7 +40,12 @@
 
 func (slot *Slot) serveConn(conn net.Conn) {
 	backend := pgproto3.NewBackend(conn, conn)
-	if _, err := backend.ReceiveStartupMessage(); err != nil {
+	startup, err := backend.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+	if request, ok := startup.(*pgproto3.CancelRequest); ok {
+		slot.cancel(request.ProcessID)
 		return
 	}
 	slot.waitStall()
@@ -55,13 +61,21 @@
 	if slot.group.ConnectCost > 0 {
 		time.Sleep(slot.group.ConnectCost)
 	}
-	session := &session{slot: slot, backend: backend, statements: make(map[string]*prepared), portals: make(map[string]*portal)}
+	session := &session{
+		slot:       slot,
+		backend:    backend,
+		statements: make(map[string]*prepared),
+		portals:    make(map[string]*portal),
+		cancelled:  make(chan struct{}, 1),
+	}
 	defer session.end()
+	pid := slot.register(session)
+	defer slot.unregister(pid)
 	backend.Send(&pgproto3.AuthenticationOk{})
 	backend.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "16.0"})
 	backend.Send(&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"})
 	backend.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
-	backend.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{0, 0, 0, 1}})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{0, 0, 0, 1}})
 	session.ready()
 	session.loop()
 }
@@ -76,6 +90,33 @@
 	statements map[string]*prepared
 	portals    map[string]*portal
 	reported   posn.Position
+	cancelled  chan struct{}
+}
+
+func (slot *Slot) register(session *session) uint32 {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	slot.lastPID++
+	slot.sessions[slot.lastPID] = session
+	return slot.lastPID
+}
+
+func (slot *Slot) unregister(pid uint32) {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	delete(slot.sessions, pid)
+}
+
+// cancel ends the statement that a session sleeps in.
+func (slot *Slot) cancel(pid uint32) {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	if session, ok := slot.sessions[pid]; ok {
+		select {
+		case session.cancelled <- struct{}{}:
+		default:
+		}
+	}
 }
 
 type prepared struct {
--- a/load/load.go
+++ b/load/load.go
@@ -247,3 +247,10 @@
 	})
 	return found, err
 }
+
+// Ops returns the operations so far.
+func (run *Run) Ops() []check.Op {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return append([]check.Op(nil), run.ops...)
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,147 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/fakekv"
+	"github.com/bramleydoor/bramleydoor/httpkv"
+	"github.com/bramleydoor/bramleydoor/peer"
+	"github.com/bramleydoor/bramleydoor/relay"
+	"github.com/bramleydoor/bramleydoor/stats"
+	"github.com/bramleydoor/bramleydoor/store"
+	"github.com/bramleydoor/bramleydoor/ticket"
+)
+
+func start(c *qt.C) (context.Context, *fakekv.Server, store.Store) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	c.Cleanup(cancel)
+	server := &fakekv.Server{}
+	c.Assert(server.Start("127.0.0.1:0"), qt.IsNil)
+	c.Cleanup(server.Stop)
+	return ctx, server, &httpkv.Client{Base: server.URL(), ReadRate: 1000, WriteRate: 1000}
+}
+
+func rule(number uint64, id, name string) ticket.Ticket {
+	return ticket.Ticket{Number: number, ID: id, Rules: []ticket.Rule{{Name: name}}}
+}
+
+// Rule 17: of two racing tickets one wins, the other's operator is told what it
+// touched, and a lost answer is found again.
+func TestSubmit(t *testing.T) {
+	c := qt.New(t)
+	ctx, server, kv := start(c)
+	server.SetFaults(fakekv.Faults{LoseWrites: 1})
+	c.Assert(relay.Submit(ctx, kv, rule(1, "first", "slow")), qt.IsNil)
+	c.Assert(relay.Submit(ctx, kv, rule(1, "first", "slow")), qt.IsNil)
+
+	err := relay.Submit(ctx, kv, rule(1, "second", "slow"))
+	c.Assert(err, qt.ErrorMatches, `ticket 1 was taken by "first", which also touches rule slow.*`)
+	err = relay.Submit(ctx, kv, rule(1, "second", "fast"))
+	c.Assert(err, qt.ErrorMatches, `.*touches nothing of yours.*`)
+	c.Assert(relay.Submit(ctx, kv, rule(3, "third", "fast")), qt.ErrorIs, ticket.ErrOutOfOrder)
+
+	server.SetFaults(fakekv.Faults{Down: true})
+	c.Assert(relay.Submit(ctx, kv, rule(2, "second", "fast")), qt.ErrorMatches, `nothing was submitted.*`)
+	server.SetFaults(fakekv.Faults{})
+	state, tickets, err := relay.Load(ctx, kv)
+	c.Assert(err, qt.IsNil)
+	c.Assert(tickets, qt.HasLen, 1)
+	c.Assert(state.Number, qt.Equals, uint64(1))
+}
+
+// Concurrent operators with one number: exactly one is told that it won.
+func TestSubmitRace(t *testing.T) {
+	c := qt.New(t)
+	ctx, server, kv := start(c)
+	server.SetFaults(fakekv.Faults{LoseWrites: 3})
+	results := make(chan error, 5)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		go func() { results <- relay.Submit(ctx, kv, rule(1, id, "slow")) }()
+	}
+	won := 0
+	for range 5 {
+		if <-results == nil {
+			won++
+		}
+	}
+	c.Assert(won, qt.Equals, 1)
+}
+
+func newRelay(kv store.Store, ask func(peer.TicketQuery) peer.TicketReply) *relay.Relay {
+	return &relay.Relay{
+		Store:   kv,
+		Clock:   clock.System{},
+		Stats:   &stats.Stats{},
+		IsRelay: func() bool { return ask == nil },
+		Ask: func(_ context.Context, query peer.TicketQuery) (peer.TicketReply, string, error) {
+			return ask(query), "vm2", nil
+		},
+		OnState: func(ticket.State) {},
+	}
+}
+
+// A VM never goes back, whatever a stale peer says, and a ticket that can't be
+// applied uses up its number on each VM alike.
+func TestNeverBack(t *testing.T) {
+	c := qt.New(t)
+	ctx, _, kv := start(c)
+	dangling := ticket.Ticket{Number: 2, ID: "dangling", Groups: []ticket.Group{{
+		Name: "ledger1.db1", Upstream: "nobody", ConnectionLimit: 1,
+		Slots: []ticket.Slot{{Name: "a", Address: "10.0.0.1:1", Control: "10.0.0.1:2", Zone: "z"}},
+	}}}
+	replies := make(chan peer.TicketReply, 8)
+	replies <- peer.TicketReply{Tickets: []ticket.Ticket{rule(1, "one", "a"), dangling, rule(3, "three", "b")}}
+	old := ticket.State{Number: 1, ID: "old"}
+	replies <- peer.TicketReply{State: &old}
+	replies <- peer.TicketReply{Tickets: []ticket.Ticket{rule(2, "other", "c")}}
+	replies <- peer.TicketReply{Tickets: []ticket.Ticket{rule(4, "four", "d")}}
+	done := make(chan struct{})
+	following := newRelay(kv, func(peer.TicketQuery) peer.TicketReply {
+		select {
+		case reply := <-replies:
+			return reply
+		default:
+			close(done)
+			<-ctx.Done()
+			return peer.TicketReply{}
+		}
+	})
+	runCtx, stop := context.WithCancel(ctx)
+	go func() { _ = following.Run(runCtx) }()
+	<-done
+	state := following.State()
+	stop()
+	c.Assert(state.Number, qt.Equals, uint64(4))
+	c.Assert(state.Groups, qt.HasLen, 0)
+	c.Assert(state.Rules, qt.HasLen, 3)
+}
+
+// A VM that is behind gets differences, or the whole state if they are too many.
+func TestAnswer(t *testing.T) {
+	c := qt.New(t)
+	ctx, _, kv := start(c)
+	var asked uint64
+	done := make(chan struct{})
+	serving := newRelay(kv, func(query peer.TicketQuery) peer.TicketReply {
+		if asked++; asked > 1100 {
+			close(done)
+			<-ctx.Done()
+			return peer.TicketReply{}
+		}
+		return peer.TicketReply{Tickets: []ticket.Ticket{rule(query.After+1, "x", "a")}}
+	})
+	runCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() { _ = serving.Run(runCtx) }()
+	<-done
+	c.Assert(serving.Answer(ctx, peer.TicketQuery{After: 1098}).Tickets, qt.HasLen, 2)
+	whole := serving.Answer(ctx, peer.TicketQuery{After: 3})
+	c.Assert(whole.Tickets, qt.HasLen, 0)
+	c.Assert(whole.State.Number, qt.Equals, uint64(1100))
+	c.Assert(serving.Answer(ctx, peer.TicketQuery{After: 1100}).State, qt.IsNil)
+}
