--- /dev/null
+++ b/bench/slope_test.go
@@ -0,0 +1,410 @@
+package bench_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/fakedb"
+	"github.com/bramleydoor/bramleydoor/fakekv"
+	"github.com/bramleydoor/bramleydoor/gctl"
+	"github.com/bramleydoor/bramleydoor/gossip"
+	"github.com/bramleydoor/bramleydoor/httpkv"
+	"github.com/bramleydoor/bramleydoor/member"
+	"github.com/bramleydoor/bramleydoor/owner"
+	"github.com/bramleydoor/bramleydoor/peer"
+	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/quorum"
+	"github.com/bramleydoor/bramleydoor/relay"
+	"github.com/bramleydoor/bramleydoor/roster"
+	"github.com/bramleydoor/bramleydoor/route"
+	"github.com/bramleydoor/bramleydoor/stats"
+	"github.com/bramleydoor/bramleydoor/ticket"
+	"github.com/bramleydoor/bramleydoor/view"
+	"github.com/bramleydoor/bramleydoor/watch"
+)
+
+// figures are what one point of a slope measured, by unit.
+type figures map[string]float64
+
+// slope measures at several sizes and reports, for each unit, the fitted cost
+// per unit of size, the part that doesn't depend on it, and the fit's R².
+func slope(b *testing.B, sizes []int, measure func(size int) figures) {
+	b.Helper()
+	for b.Loop() {
+		xs := make([]float64, 0, len(sizes))
+		ys := make(map[string][]float64)
+		for _, size := range sizes {
+			point := measure(size)
+			xs = append(xs, float64(size))
+			for unit, value := range point {
+				ys[unit] = append(ys[unit], value)
+				b.Logf("size %d: %.4g %s", size, value, unit)
+			}
+		}
+		for unit, values := range ys {
+			base, per := stat.LinearRegression(xs, values, nil, false)
+			fit := stat.RSquared(xs, values, nil, base, per)
+			b.ReportMetric(per, unit+"/each")
+			b.ReportMetric(base, unit+"/base")
+			b.ReportMetric(fit, unit+"/R2")
+		}
+	}
+}
+
+// cpu is the processor time that this process has used, in seconds.
+func cpu() float64 {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / float64(time.Second)
+}
+
+// during runs for a while and returns processor seconds per second.
+const during = 3 * time.Second
+
+func cpuShare() float64 {
+	before := cpu()
+	time.Sleep(during)
+	return (cpu() - before) / during.Seconds()
+}
+
+// counter counts the bytes of the connections that it dials.
+type counter struct{ bytes atomic.Int64 }
+
+func (counter *counter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, counter: counter}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counter *counter
+}
+
+func (conn *countedConn) Read(buffer []byte) (int, error) {
+	n, err := conn.Conn.Read(buffer)
+	conn.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+func (conn *countedConn) Write(buffer []byte) (int, error) {
+	n, err := conn.Conn.Write(buffer)
+	conn.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkSlopeWatch: what a VM spends to watch groups of three slots that are
+// idle. The processor time includes that of the stand-in's side.
+func BenchmarkSlopeWatch(b *testing.B) {
+	slope(b, []int{5, 10, 20, 40}, func(size int) figures {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		counted := &counter{}
+		control := gctl.New(counted.dial)
+		watches := make([]*watch.Watch, size)
+		for i := range size {
+			group := &fakedb.Group{Slots: 3}
+			if err := group.Start(); err != nil {
+				b.Fatal(err)
+			}
+			defer group.Stop()
+			described := ticket.Group{Name: "g" + strconv.Itoa(i)}
+			for s := range 3 {
+				slot := group.Slot(s)
+				described.Slots = append(described.Slots, ticket.Slot{Name: slot.Name(), Control: slot.Control()})
+			}
+			watches[i] = &watch.Watch{Control: control, Clock: clock.System{}, Interval: watch.DefaultInterval, Timeout: watch.DefaultTimeout}
+			watches[i].SetGroup(described)
+			go func() { _ = watches[i].Run(ctx) }()
+		}
+		time.Sleep(time.Second)
+		calls, bytes := sumCalls(watches), counted.bytes.Load()
+		share := cpuShare()
+		return figures{
+			"cores":   share,
+			"calls/s": float64(sumCalls(watches)-calls) / during.Seconds(),
+			"B/s":     float64(counted.bytes.Load()-bytes) / during.Seconds(),
+		}
+	})
+}
+
+func sumCalls(watches []*watch.Watch) int64 {
+	var calls int64
+	for _, w := range watches {
+		calls += w.Calls.Load()
+	}
+	return calls
+}
+
+// fleet starts gossip on many VMs in this process.
+func fleet(b *testing.B, ctx context.Context, size int, counted *counter) []*gossip.Gossip {
+	b.Helper()
+	key := []byte("a key of at least 16 bytes")
+	var seeds roster.Fixed
+	listeners := make([]net.Listener, size)
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		listeners[i] = listener
+		seeds = append(seeds, roster.VM{ID: fmt.Sprintf("vm%04d", i), Peer: listener.Addr().String(), Zone: "zone1"})
+	}
+	all := make([]*gossip.Gossip, size)
+	for i := range size {
+		client := &peer.Client{Key: key}
+		if i == 0 {
+			client.Dial = counted.dial
+		}
+		all[i] = &gossip.Gossip{
+			Self:  member.Member{ID: seeds[i].ID, Address: seeds[i].Peer, Zone: "zone1", Incarnation: 1},
+			Peers: client,
+			Lists: []roster.List{seeds},
+			Clock: clock.System{},
+		}
+		all[i].Init()
+		server := &peer.Server{Listener: listeners[i], Key: key, Handler: answers{gossip: all[i]}}
+		go func() { _ = server.Run(ctx) }()
+		go func() { _ = all[i].Run(ctx) }()
+	}
+	return all
+}
+
+// answers answers pings only.
+type answers struct {
+	peer.Handler
+	gossip *gossip.Gossip
+}
+
+func (answers answers) Ping(ping peer.Ping) peer.Ping { return answers.gossip.Answer(ping) }
+
+// BenchmarkSlopeGossip: what membership costs one VM by the size of the fleet.
+// Only the calls that the VM makes are counted in bytes; it answers as many.
+func BenchmarkSlopeGossip(b *testing.B) {
+	slope(b, []int{25, 50, 100, 200}, func(size int) figures {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		counted := &counter{}
+		all := fleet(b, ctx, size, counted)
+		began := time.Now()
+		for len(all[0].Live()) < size {
+			time.Sleep(10 * time.Millisecond)
+			if time.Since(began) > time.Minute {
+				b.Fatalf("only %d of %d VMs are seen alive", len(all[0].Live()), size)
+			}
+		}
+		// The rumours of the start have to die down.
+		time.Sleep(3 * time.Second)
+		bytes := counted.bytes.Load()
+		share := cpuShare()
+		return figures{
+			"cores/VM": share / float64(size),
+			"B/s":      float64(counted.bytes.Load()-bytes) / during.Seconds(),
+		}
+	})
+}
+
+// BenchmarkSlopeMember: memory of the membership table by the size of the fleet.
+func BenchmarkSlopeMember(b *testing.B) {
+	slope(b, []int{250, 500, 1000, 2500}, func(size int) figures {
+		before := memory()
+		table := member.New(member.Member{ID: "self"})
+		for i := range size {
+			table.Apply(member.Member{ID: fmt.Sprintf("vm%04d", i), Address: "10.0.0.1:6433", Zone: "zone1", Incarnation: 1}, time.Now())
+		}
+		live := table.Live()
+		used := memory() - before
+		runtime.KeepAlive(table)
+		return figures{"B": float64(used), "live": float64(len(live))}
+	})
+}
+
+func bigState(groups int) ticket.State {
+	first := ticket.Ticket{Number: 1, ID: "first", Upstreams: []ticket.Upstream{{Name: "ledger1"}}}
+	for i := range groups {
+		group := ticket.Group{Name: fmt.Sprintf("ledger1.db%05d", i), Upstream: "ledger1", ConnectionLimit: 25}
+		for s := range 3 {
+			group.Slots = append(group.Slots, ticket.Slot{
+				Name: string(rune('a' + s)), Address: fmt.Sprintf("10.%d.%d.%d:5432", s, i/250, i%250), Control: fmt.Sprintf("10.%d.%d.%d:8008", s, i/250, i%250), Zone: "zone" + strconv.Itoa(s),
+			})
+		}
+		first.Groups = append(first.Groups, group)
+	}
+	state, err := ticket.State{}.With(first)
+	if err != nil {
+		panic(err)
+	}
+	return state
+}
+
+// BenchmarkSlopeTicket: applying a ticket of one group by the number of groups
+// in the configuration, and the memory of that configuration.
+func BenchmarkSlopeTicket(b *testing.B) {
+	slope(b, []int{2750, 5500, 11000, 22000}, func(size int) figures {
+		before := memory()
+		state := bigState(size)
+		used := memory() - before
+		change := ticket.Ticket{Number: 2, ID: "change", Groups: []ticket.Group{state.Groups["ledger1.db00001"]}}
+		const rounds = 20
+		began := time.Now()
+		for range rounds {
+			if _, err := state.With(change); err != nil {
+				b.Fatal(err)
+			}
+		}
+		return figures{"us": float64(time.Since(began).Microseconds()) / rounds, "B": float64(used)}
+	})
+}
+
+// BenchmarkSlopeRelay: bringing one ticket to followers that wait for it.
+func BenchmarkSlopeRelay(b *testing.B) {
+	slope(b, []int{25, 50, 100, 200}, func(size int) figures {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		const tickets = 50
+		next := make(chan struct{})
+		source := newSource(next, tickets)
+		go func() { _ = source.Run(ctx) }()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		key := []byte("a key of at least 16 bytes")
+		server := &peer.Server{Listener: listener, Key: key, Handler: sourceHandler{relay: source}}
+		go func() { _ = server.Run(ctx) }()
+		counted := &counter{}
+		done := make(chan struct{}, size)
+		for range size {
+			client := &peer.Client{Key: key, Dial: counted.dial}
+			go follow(ctx, client, listener.Addr().String(), tickets, done)
+		}
+		time.Sleep(500 * time.Millisecond)
+		before, bytes := cpu(), counted.bytes.Load()
+		for range tickets {
+			next <- struct{}{}
+		}
+		for range size {
+			<-done
+		}
+		return figures{
+			"us/ticket": (cpu() - before) * 1e6 / tickets,
+			"B/ticket":  float64(counted.bytes.Load()-bytes) / tickets,
+		}
+	})
+}
+
+func newSource(next chan struct{}, tickets int) *relay.Relay {
+	return &relay.Relay{
+		Store: &httpkv.Client{}, Clock: clock.System{}, Stats: &stats.Stats{},
+		IsRelay: func() bool { return false },
+		Ask: func(ctx context.Context, query peer.TicketQuery) (peer.TicketReply, string, error) {
+			if query.After >= uint64(tickets) {
+				<-ctx.Done()
+				return peer.TicketReply{}, "", ctx.Err()
+			}
+			<-next
+			group := bigGroup
+			return peer.TicketReply{Tickets: []ticket.Ticket{{Number: query.After + 1, ID: "t", Upstreams: []ticket.Upstream{{Name: "ledger1"}}, Groups: []ticket.Group{group}}}}, "store", nil
+		},
+		OnState: func(ticket.State) {},
+	}
+}
+
+var bigGroup = bigState(1).Groups["ledger1.db00000"]
+
+type sourceHandler struct {
+	peer.Handler
+	relay *relay.Relay
+}
+
+func (handler sourceHandler) Tickets(ctx context.Context, query peer.TicketQuery) peer.TicketReply {
+	return handler.relay.Answer(ctx, query)
+}
+
+func follow(ctx context.Context, client *peer.Client, address string, tickets int, done chan<- struct{}) {
+	for have := 0; have < tickets; {
+		reply, err := client.Tickets(ctx, address, peer.TicketQuery{After: uint64(have), Wait: time.Second})
+		if err != nil {
+			continue
+		}
+		have += len(reply.Tickets)
+	}
+	done <- struct{}{}
+}
+
+// BenchmarkSlopeStore: calls of the store by the number of relays that follow it
+// at rest. A waiting watch counts as one call.
+func BenchmarkSlopeStore(b *testing.B) {
+	slope(b, []int{4, 8, 16, 32}, func(size int) figures {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		server := &fakekv.Server{}
+		if err := server.Start("127.0.0.1:0"); err != nil {
+			b.Fatal(err)
+		}
+		defer server.Stop()
+		for range size {
+			one := &relay.Relay{
+				Store: &httpkv.Client{Base: server.URL()}, Clock: clock.System{}, Stats: &stats.Stats{},
+				IsRelay: func() bool { return true },
+				OnState: func(ticket.State) {},
+			}
+			go func() { _ = one.Run(ctx) }()
+		}
+		time.Sleep(500 * time.Millisecond)
+		before := server.Calls.Load()
+		const window = 21 * time.Second
+		time.Sleep(window)
+		return figures{"calls/s": float64(server.Calls.Load()-before) / window.Seconds()}
+	})
+}
+
+// BenchmarkSlopeRoute: one routing decision by the number of slots.
+func BenchmarkSlopeRoute(b *testing.B) {
+	slope(b, []int{3, 5, 9, 15}, func(size int) figures {
+		now := time.Now()
+		candidates := make([]route.Candidate, size)
+		for i := range candidates {
+			position := posn.Position{Term: 1, LSN: 9}
+			candidates[i].Slot = view.Slot{
+				Report: quorum.Report{Slot: string(rune('a' + i)), Sealed: 1, Held: position, Primary: i == 0},
+				Seen:   position, HeardAt: now,
+			}
+		}
+		query := route.Query{Floor: posn.Position{Term: 1, LSN: 5}, MaxSilence: time.Second, Now: now}
+		const rounds = 200_000
+		began := time.Now()
+		for range rounds {
+			route.Choose(query, candidates)
+		}
+		return figures{"ns": float64(time.Since(began).Nanoseconds()) / rounds}
+	})
+}
+
+// BenchmarkSlopeOwner: finding a duty's VM by the size of the fleet.
+func BenchmarkSlopeOwner(b *testing.B) {
+	slope(b, []int{250, 500, 1000, 2500}, func(size int) figures {
+		vms := make([]string, size)
+		for i := range vms {
+			vms[i] = fmt.Sprintf("vm%04d", i)
+		}
+		const rounds = 500
+		began := time.Now()
+		for i := range rounds {
+			owner.Of(strconv.Itoa(i), vms)
+		}
+		return figures{"us": float64(time.Since(began).Nanoseconds()) / rounds / 1000}
+	})
+}
--- a/demo/caller_test.go
+++ b/demo/caller_test.go
@@ -206,7 +206,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(answer), qt.Contains, "08P01")
 	exec(ctx, c, good, addOne, "k")
-	c.Assert(cluster.VMs[0].VM.Status().Refusals["badMessage"] > 0, qt.IsTrue)
+	c.Assert(cluster.VMs[0].VM().Status().Refusals["badMessage"] > 0, qt.IsTrue)
 	_, err = pgx.Connect(ctx, "postgres://clerk@"+cluster.VMs[0].Address()+"/ledger9.db9?sslmode=disable")
 	c.Assert(err, qt.ErrorMatches, ".*3D000.*")
 }
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -60,11 +60,10 @@
 
 // Node is one VM of the cluster.
 type Node struct {
-	VM *serve.VM
-
 	cluster *Cluster
 	index   int
 	mu      sync.Mutex
+	vm      *serve.VM
 	cancel  context.CancelFunc
 	done    chan struct{}
 	address string
@@ -175,7 +174,7 @@
 func (cluster *Cluster) list(ctx context.Context) error {
 	var vms []roster.VM
 	for _, node := range cluster.VMs {
-		vms = append(vms, roster.VM{ID: node.VM.Settings.ID, Peer: node.peer, Zone: node.VM.Settings.Zone})
+		vms = append(vms, roster.VM{ID: node.VM().Settings.ID, Peer: node.peer, Zone: node.VM().Settings.Zone})
 	}
 	value, err := json.Marshal(vms)
 	if err != nil {
@@ -213,9 +212,9 @@
 		settings.Listen = addPort(cluster.Listen, node.index)
 	}
 	for _, other := range cluster.VMs {
-		if other != node && other.peer != "" {
+		if other != node {
 			settings.Seeds = append(settings.Seeds, roster.VM{
-				ID: other.VM.Settings.ID, Peer: other.peer, Zone: other.VM.Settings.Zone,
+				ID: other.VM().Settings.ID, Peer: other.peer, Zone: other.VM().Settings.Zone,
 			})
 		}
 	}
@@ -250,7 +249,7 @@
 	}
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	node.VM, node.address, node.peer = vm, vm.Address(), vm.PeerAddress()
+	node.vm, node.address, node.peer = vm, vm.Address(), vm.PeerAddress()
 	cluster.Net.Place(node.address, callerPlace)
 	cluster.Net.Place(node.peer, settings.Zone)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -265,7 +264,18 @@
 }
 
 // Address is where callers reach the VM.
-func (node *Node) Address() string { return node.address }
+func (node *Node) Address() string {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.address
+}
+
+// VM is the running VM, or the last one that ran.
+func (node *Node) VM() *serve.VM {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.vm
+}
 
 // Kill ends the VM at once.
 func (node *Node) Kill() {
@@ -277,7 +287,7 @@
 
 // Stop is a planned stop.
 func (node *Node) Stop(ctx context.Context) {
-	node.VM.Stop(ctx)
+	node.VM().Stop(ctx)
 	node.Kill()
 }
 
@@ -311,7 +321,7 @@
 
 func (cluster *Cluster) isReady() bool {
 	for _, node := range cluster.VMs {
-		status := node.VM.Status()
+		status := node.VM().Status()
 		if len(status.Groups) != len(cluster.Groups) || len(status.Live) != len(cluster.VMs) {
 			return false
 		}
--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -170,7 +170,7 @@
 		_, err := conn.Exec(ctx, addOne, "k")
 		return err == nil
 	})
-	c.Assert(cluster.VMs[2].VM.Status().Number, qt.Equals, uint64(1))
+	c.Assert(cluster.VMs[2].VM().Status().Number, qt.Equals, uint64(1))
 }
 
 // Rules 17 and 18: an accepted ticket is in force at every VM, and a leaving
@@ -184,7 +184,7 @@
 	leaving := ticket.Ticket{ID: "close-ledger1", Upstreams: []ticket.Upstream{{Name: "ledger1", Leaving: true}}}
 	c.Assert(cluster.Submit(ctx, leaving), qt.IsNil)
 	for _, node := range cluster.VMs {
-		until(ctx, c, "ticket 2 is in force", func() bool { return node.VM.Status().Number == 2 })
+		until(ctx, c, "ticket 2 is in force", func() bool { return node.VM().Status().Number == 2 })
 	}
 	_, err := conn.Exec(ctx, addOne, "k")
 	c.Assert(err, qt.ErrorMatches, ".*upstream is leaving.*")
--- a/demo/run.go
+++ b/demo/run.go
@@ -212,8 +212,8 @@
 		primary.Cut(isCut)
 		for i, node := range demo.Cluster.VMs {
 			if i != spared {
-				demo.Cluster.Net.Cut(node.VM.Settings.ID, primary.Address(), isCut)
-				demo.Cluster.Net.Cut(node.VM.Settings.ID, primary.Control(), isCut)
+				demo.Cluster.Net.Cut(node.VM().Settings.ID, primary.Address(), isCut)
+				demo.Cluster.Net.Cut(node.VM().Settings.ID, primary.Control(), isCut)
 			}
 		}
 	}
@@ -307,7 +307,7 @@
 		Report:      check.Check(history),
 	}
 	for _, node := range demo.Cluster.VMs {
-		status := node.VM.Status()
+		status := node.VM().Status()
 		result.Promotions += status.Promotions
 		addCounts(result.Routes, status.Routes)
 		addCounts(result.Refusals, status.Refusals)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -103,11 +103,11 @@
 
 // probe asks a VM, and two others to ask it if it doesn't answer.
 func (gossip *Gossip) probe(ctx context.Context, target member.Member) {
-	if gossip.ask(ctx, target.Address, "") {
+	if gossip.ask(ctx, target, "") {
 		return
 	}
 	for _, helper := range gossip.pickHelpers(target.ID) {
-		if gossip.ask(ctx, helper.Address, target.Address) {
+		if gossip.ask(ctx, helper, target.Address) {
 			return
 		}
 	}
@@ -131,9 +131,9 @@
 }
 
 // ask sends one message. With a target, it returns whether that one answered.
-func (gossip *Gossip) ask(ctx context.Context, address, target string) bool {
+func (gossip *Gossip) ask(ctx context.Context, to member.Member, target string) bool {
 	sentAt := gossip.Clock.Now()
-	answer, err := gossip.Peers.Ping(ctx, address, gossip.message(target))
+	answer, err := gossip.Peers.Ping(ctx, to.Address, gossip.message(to.ID, target))
 	if err != nil {
 		return false
 	}
@@ -141,10 +141,10 @@
 	return target == "" || answer.Target == target
 }
 
-// message is what this VM tells.
-func (gossip *Gossip) message(target string) peer.Ping {
+// message is what this VM tells another.
+func (gossip *Gossip) message(to, target string) peer.Ping {
 	gossip.mu.Lock()
-	ping := peer.Ping{From: gossip.Self.ID, Updates: gossip.table.Updates(), Target: target}
+	ping := peer.Ping{From: gossip.Self.ID, Updates: gossip.table.Updates(to), Target: target}
 	gossip.mu.Unlock()
 	if gossip.Fill != nil {
 		gossip.Fill(&ping)
@@ -186,13 +186,13 @@
 // Answer answers another VM's message.
 func (gossip *Gossip) Answer(ping peer.Ping) peer.Ping {
 	gossip.take(ping, time.Time{})
-	answer := gossip.message("")
+	answer := gossip.message(ping.From, "")
 	if ping.Target == "" {
 		return answer
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), peer.DefaultTimeout)
 	defer cancel()
-	if gossip.ask(ctx, ping.Target, "") {
+	if gossip.ask(ctx, member.Member{Address: ping.Target}, "") {
 		answer.Target = ping.Target
 	}
 	return answer
@@ -210,7 +210,7 @@
 			// The rest hears of it from these.
 			return
 		}
-		gossip.ask(ctx, other.Address, "")
+		gossip.ask(ctx, other, "")
 	}
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -64,7 +64,7 @@
 	// Opinions asks the live VMs, this one included, and returns how many live.
 	Opinions func(ctx context.Context) (opinions []detect.Opinion, live int)
 
-	tracker   tracker
+	tracker   detect.Tracker
 	suspected atomic.Bool
 	// isReported keeps one suspicion from being logged at each check.
 	isReported bool
@@ -82,11 +82,10 @@
 // Run checks the primary until ctx ends. Each VM that watches the group has a
 // view of its primary; only the keeper acts.
 func (keeper *Keeper) Run(ctx context.Context) error {
-	keeper.tracker.changedAt = keeper.Clock.Now()
 	for ctx.Err() == nil {
 		next := keeper.Clock.After(checkInterval)
 		current := keeper.Watch.View()
-		isFailed := keeper.tracker.judge(current, keeper.Limits, keeper.Clock.Now())
+		isFailed := keeper.tracker.Judge(current, keeper.Limits, keeper.Clock.Now())
 		keeper.suspected.Store(isFailed)
 		if !isFailed {
 			keeper.isReported = false
--- a/member/member.go
+++ b/member/member.go
@@ -187,9 +187,14 @@
 	return table.members[table.order[table.next]].Member, true
 }
 
-// Updates returns up to MaxUpdates that are to be passed on.
-func (table *Table) Updates() []Member {
+// Updates returns up to MaxUpdates that are to be passed on to a VM. If that one
+// is not believed to be alive it is told so each time: it would not refute what
+// it never heard, and a live VM would stay dead to this one.
+func (table *Table) Updates(to string) []Member {
 	updates := []Member{table.Self}
+	if known, ok := table.members[to]; ok && known.State != Alive {
+		updates = append(updates, known.Member)
+	}
 	kept := table.queue[:0:0]
 	for _, item := range table.queue {
 		if len(updates) < MaxUpdates && item.id != table.Self.ID {
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,108 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/member"
+)
+
+var start = time.Unix(1000, 0)
+
+func vm(id string, incarnation uint64, state member.State) member.Member {
+	return member.Member{ID: id, Address: id + ":1", Incarnation: incarnation, State: state}
+}
+
+func TestApply(t *testing.T) {
+	tests := []struct {
+		name    string
+		updates []member.Member
+		live    bool
+	}{
+		{"heard", []member.Member{vm("b", 1, member.Alive)}, true},
+		{"suspected", []member.Member{vm("b", 1, member.Alive), vm("b", 1, member.Suspect)}, false},
+		{"refuted", []member.Member{vm("b", 1, member.Alive), vm("b", 1, member.Suspect), vm("b", 2, member.Alive)}, true},
+		{"late rumour", []member.Member{vm("b", 2, member.Alive), vm("b", 1, member.Dead)}, true},
+		{"dead stays dead", []member.Member{vm("b", 1, member.Alive), vm("b", 1, member.Dead), vm("b", 1, member.Alive)}, false},
+		{"restarted", []member.Member{vm("b", 1, member.Dead), vm("b", 9, member.Alive)}, true},
+		{"leaving", []member.Member{vm("b", 1, member.Alive), vm("b", 1, member.Leaving)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := member.New(vm("a", 1, member.Alive))
+			for _, update := range test.updates {
+				table.Apply(update, start)
+			}
+			qt.Assert(t, len(table.Live()) == 2, qt.Equals, test.live)
+		})
+	}
+}
+
+// Rule 20: the list lags. It neither brings a dead VM back nor makes one live
+// that nobody heard.
+func TestListed(t *testing.T) {
+	c := qt.New(t)
+	table := member.New(vm("a", 1, member.Alive))
+	table.Listed(vm("b", 0, member.Alive), start)
+	c.Assert(table.Live(), qt.HasLen, 1)
+	table.Apply(vm("b", 1, member.Alive), start)
+	c.Assert(table.Live(), qt.HasLen, 2)
+	c.Assert(table.Failed("b", start), qt.IsTrue)
+	died := table.Tick(start.Add(member.SuspectFor))
+	c.Assert(died, qt.HasLen, 1)
+	table.Listed(vm("b", 0, member.Alive), start.Add(time.Second))
+	c.Assert(table.Live(), qt.HasLen, 1)
+}
+
+// A fleet in which messages are lost and VMs are wrongly believed dead agrees
+// again that all live. A VM that was believed dead once stayed so for a minute,
+// because nobody told it.
+func TestConvergence(t *testing.T) {
+	c := qt.New(t)
+	const size = 30
+	random := rand.New(rand.NewPCG(1, 1))
+	now := start
+	tables := make([]*member.Table, size)
+	for i := range tables {
+		tables[i] = member.New(vm(fmt.Sprintf("vm%02d", i), 1, member.Alive))
+		for j := range size {
+			tables[i].Listed(vm(fmt.Sprintf("vm%02d", j), 0, member.Alive), now)
+		}
+	}
+	talk := func(loss float64) {
+		now = now.Add(200 * time.Millisecond)
+		for _, from := range tables {
+			target, _ := from.Probe()
+			var index int
+			_, _ = fmt.Sscanf(target.ID, "vm%d", &index)
+			if random.Float64() < loss {
+				from.Failed(target.ID, now)
+				continue
+			}
+			to := tables[index]
+			for _, update := range from.Updates(target.ID) {
+				to.Apply(update, now)
+			}
+			for _, update := range to.Updates(from.Self.ID) {
+				from.Apply(update, now)
+			}
+		}
+		for _, table := range tables {
+			table.Tick(now)
+		}
+	}
+	for range 100 {
+		talk(0.3)
+	}
+	rounds := 0
+	for ; rounds < 3*size; rounds++ {
+		talk(0)
+	}
+	for _, table := range tables {
+		c.Assert(table.Live(), qt.HasLen, size)
+	}
+}
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,179 @@
+// Package trace replays recorded inputs of the decision packages and compares
+// what they decide with the outcomes that the trace states.
+//
+// A trace is JSON lines in camel case. Each line is one Step: a time in
+// milliseconds since the start of the trace, and one input or expectation.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/quorum"
+	"github.com/bramleydoor/bramleydoor/share"
+	"github.com/bramleydoor/bramleydoor/ticket"
+)
+
+// Limits of a trace.
+const (
+	maxLineBytes = 1 << 20
+	maxSteps     = 1_000_000
+)
+
+// Step is one line. AtMs and one of the pointers are set.
+type Step struct {
+	AtMs int64 `json:"atMs"`
+	// Note says what the step stands for.
+	Note string `json:"note,omitempty"`
+
+	Group    *Group         `json:"group,omitempty"`
+	Report   *quorum.Report `json:"report,omitempty"`
+	Failure  *Failure       `json:"failure,omitempty"`
+	Progress *Progress      `json:"progress,omitempty"`
+	Seen     *Seen          `json:"seen,omitempty"`
+	Floor    *posn.Position `json:"floor,omitempty"`
+	Ticket   *Ticket        `json:"ticket,omitempty"`
+	Shares   *share.View    `json:"shares,omitempty"`
+	Word     *Word          `json:"word,omitempty"`
+
+	Acked   *posn.Position `json:"expectAcked,omitempty"`
+	Fate    *Fate          `json:"expectFate,omitempty"`
+	Primary *Primary       `json:"expectPrimary,omitempty"`
+	Suspect *Suspect       `json:"expectSuspect,omitempty"`
+	Elect   *Elect         `json:"expectElect,omitempty"`
+	Read    *Read          `json:"expectRead,omitempty"`
+	Share   *Share         `json:"expectShare,omitempty"`
+}
+
+// Group begins a group.
+type Group struct {
+	Slots int `json:"slots"`
+}
+
+// Failure is a slot that did not answer.
+type Failure struct {
+	Slot    string `json:"slot"`
+	Refused bool   `json:"refused,omitempty"`
+}
+
+// Progress is the primary's account of what slots held under its term.
+type Progress struct {
+	Reports []quorum.Report `json:"reports"`
+}
+
+// Seen is a position that traffic showed.
+type Seen struct {
+	Slot     string        `json:"slot"`
+	Position posn.Position `json:"position"`
+}
+
+// Ticket is applied to the configuration; Error is a part of the refusal that
+// is expected, or empty.
+type Ticket struct {
+	Ticket ticket.Ticket `json:"ticket"`
+	Error  string        `json:"error,omitempty"`
+}
+
+// Word is what a VM says of its shares. Asked says that it answers a question
+// that was sent at the step's time.
+type Word struct {
+	VM     string `json:"vm"`
+	Epoch  uint64 `json:"epoch"`
+	Closed bool   `json:"closed,omitempty"`
+	Asked  bool   `json:"asked,omitempty"`
+}
+
+// Fate is the expected fate of an entry: open, kept or lost.
+type Fate struct {
+	Position posn.Position `json:"position"`
+	Fate     string        `json:"fate"`
+}
+
+// Primary is the expected primary; Ready says that its term is opened.
+type Primary struct {
+	Slot  string `json:"slot"`
+	Ready bool   `json:"ready,omitempty"`
+}
+
+// Suspect says whether the failure detector is expected to suspect the primary.
+type Suspect struct {
+	Suspected bool `json:"suspected"`
+	// Agreeing is how many of Live VMs suspect it too; zero leaves that out.
+	Agreeing int `json:"agreeing,omitempty"`
+	Live     int `json:"live,omitempty"`
+}
+
+// Elect is an election from seals; Winner is empty if none is expected.
+type Elect struct {
+	Term   uint64          `json:"term"`
+	Seals  []quorum.Report `json:"seals"`
+	Avoid  string          `json:"avoid,omitempty"`
+	Winner string          `json:"winner"`
+}
+
+// Read is a routing decision.
+type Read struct {
+	Floor       posn.Position `json:"floor"`
+	StalenessMs int64         `json:"stalenessMs,omitempty"`
+	Slot        string        `json:"slot"`
+	Reason      string        `json:"reason"`
+}
+
+// Share is the expected share of vm1, whose view the trace follows.
+type Share struct {
+	Group string `json:"group"`
+	Limit int    `json:"limit"`
+	Share int    `json:"share"`
+}
+
+// Decode reads a trace. The error names the line.
+func Decode(reader io.Reader) ([]Step, error) {
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(nil, maxLineBytes)
+	var steps []Step
+	for line := 1; scanner.Scan(); line++ {
+		text := bytes.TrimSpace(scanner.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		if len(steps) >= maxSteps {
+			return nil, errors.Newf("line %d: more than %d steps", line, maxSteps)
+		}
+		decoder := json.NewDecoder(bytes.NewReader(text))
+		decoder.DisallowUnknownFields()
+		var step Step
+		if err := decoder.Decode(&step); err != nil {
+			return nil, errors.Newf("line %d: %s", line, strings.TrimPrefix(err.Error(), "json: "))
+		}
+		steps = append(steps, step)
+	}
+	return steps, errors.Wrap(scanner.Err(), "reading the trace")
+}
+
+// at is the time of a step. Traces begin at a time of their own, so that they
+// say the same whenever they are replayed.
+func (step Step) at() time.Time {
+	return time.Unix(1_000_000, 0).Add(time.Duration(step.AtMs) * time.Millisecond)
+}
+
+// Mismatch is an outcome that differs from the stated one.
+type Mismatch struct {
+	// Step counts from 1.
+	Step int
+	Note string
+	Want string
+	Got  string
+}
+
+// String describes the mismatch in one line.
+func (mismatch Mismatch) String() string {
+	return fmt.Sprintf("step %d (%s): want %s, got %s", mismatch.Step, mismatch.Note, mismatch.Want, mismatch.Got)
+}
