Carry membership in datagrams; add the load tool, baselines and plots

Cause: membership over net/rpc kept a connection to every VM: 200 VMs in one process took over 1 GB, and a new connection per probe would have cost more bytes than the 6 KB/s that a VM may spend. The list of live VMs was sorted anew with each message, so processor time grew with the fleet: 0.089% of a core and 0.0014% for each VM, 3.6% at 2,500.

Change: package probe sends one datagram each way, in CBOR with a keyed hash; in fleets over eight VMs one VM is probed in a period; the list is renewed only when something changed. The load command runs policies side by side on stand-ins or works on given addresses, and draws plots. Two baselines: all reads on the primary, and a fixed delay.

--- a/bench/slope_test.go
+++ b/bench/slope_test.go
@@ -23,6 +23,7 @@
 	"github.com/bramleydoor/bramleydoor/owner"
 	"github.com/bramleydoor/bramleydoor/peer"
 	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/probe"
 	"github.com/bramleydoor/bramleydoor/quorum"
 	"github.com/bramleydoor/bramleydoor/relay"
 	"github.com/bramleydoor/bramleydoor/roster"
@@ -148,56 +149,63 @@
 	return calls
 }
 
+// countedPackets counts the bytes of datagrams.
+type countedPackets struct {
+	net.PacketConn
+	counter *counter
+}
+
+func (conn *countedPackets) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	n, remote, err := conn.PacketConn.ReadFrom(buffer)
+	conn.counter.bytes.Add(int64(n))
+	return n, remote, err
+}
+
+func (conn *countedPackets) WriteTo(buffer []byte, remote net.Addr) (int, error) {
+	n, err := conn.PacketConn.WriteTo(buffer, remote)
+	conn.counter.bytes.Add(int64(n))
+	return n, err
+}
+
 // fleet starts gossip on many VMs in this process.
-func fleet(b *testing.B, ctx context.Context, size int, counted *counter) []*gossip.Gossip {
+func fleet(ctx context.Context, b *testing.B, size int, counted *counter) []*gossip.Gossip {
 	b.Helper()
-	key := []byte("a key of at least 16 bytes")
 	var seeds roster.Fixed
-	listeners := make([]net.Listener, size)
+	all := make([]*gossip.Gossip, size)
+	conns := make([]net.PacketConn, size)
 	for i := range size {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
-		listeners[i] = listener
-		seeds = append(seeds, roster.VM{ID: fmt.Sprintf("vm%04d", i), Peer: listener.Addr().String(), Zone: "zone1"})
+		conns[i] = conn
+		seeds = append(seeds, roster.VM{ID: fmt.Sprintf("vm%04d", i), Peer: conn.LocalAddr().String(), Zone: "zone1"})
 	}
-	all := make([]*gossip.Gossip, size)
+	conns[0] = &countedPackets{PacketConn: conns[0], counter: counted}
 	for i := range size {
-		client := &peer.Client{Key: key}
-		if i == 0 {
-			client.Dial = counted.dial
-		}
+		endpoint := &probe.Endpoint{Conn: conns[i], Key: []byte("a key of at least 16 bytes")}
 		all[i] = &gossip.Gossip{
-			Self:  member.Member{ID: seeds[i].ID, Address: seeds[i].Peer, Zone: "zone1", Incarnation: 1},
-			Peers: client,
-			Lists: []roster.List{seeds},
-			Clock: clock.System{},
+			Self:   member.Member{ID: seeds[i].ID, Address: seeds[i].Peer, Zone: "zone1", Incarnation: 1},
+			Probes: endpoint,
+			Lists:  []roster.List{seeds},
+			Clock:  clock.System{},
 		}
 		all[i].Init()
-		server := &peer.Server{Listener: listeners[i], Key: key, Handler: answers{gossip: all[i]}}
-		go func() { _ = server.Run(ctx) }()
+		endpoint.Answer = all[i].Answer
+		go func() { _ = endpoint.Run(ctx) }()
 		go func() { _ = all[i].Run(ctx) }()
 	}
 	return all
 }
 
-// answers answers pings only.
-type answers struct {
-	peer.Handler
-	gossip *gossip.Gossip
-}
-
-func (answers answers) Ping(ping peer.Ping) peer.Ping { return answers.gossip.Answer(ping) }
-
 // BenchmarkSlopeGossip: what membership costs one VM by the size of the fleet.
-// Only the calls that the VM makes are counted in bytes; it answers as many.
+// Bytes are those of the VM's own probes and of its answers to others.
 func BenchmarkSlopeGossip(b *testing.B) {
 	slope(b, []int{25, 50, 100, 200}, func(size int) figures {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		counted := &counter{}
-		all := fleet(b, ctx, size, counted)
+		all := fleet(ctx, b, size, counted)
 		began := time.Now()
 		for len(all[0].Live()) < size {
 			time.Sleep(10 * time.Millisecond)
--- /dev/null
+++ b/cliapp/load.go
@@ -0,0 +1,169 @@
+package cliapp
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleydoor/bramleydoor/check"
+	"github.com/bramleydoor/bramleydoor/demo"
+	"github.com/bramleydoor/bramleydoor/load"
+	"github.com/bramleydoor/bramleydoor/plot"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "put open-loop load on given addresses, or on stand-ins under each of several policies",
+		Flags: []cli.Flag{
+			listFlag("target", "address of a VM; without any, stand-ins are started"),
+			listFlag("database", "database group to work on, with --target"),
+			stringFlag("deployment", "authority", "size of the stand-ins"),
+			listFlag("policy", "with stand-ins: byCost, primaryOnly, fixedDelay; several are run one after the other"),
+			stringFlag("faults", "none", "with stand-ins: kinds of faults"),
+			durationFlag("duration", demoDuration, "how long each run takes"),
+			&cli.Uint64Flag{Name: "seed", Value: demoSeed, Usage: "seed of load, lag and faults"},
+			intFlag("callers", demoCallers, "number of callers"),
+			&cli.FloatFlag{Name: "rate", Value: demoRate, Usage: "requests per second and caller"},
+			&cli.FloatFlag{Name: "reads", Value: load.DefaultMix.Reads, Usage: "share of reads, with --target"},
+			&cli.FloatFlag{Name: "aged", Value: load.DefaultMix.Aged, Usage: "share of reads with a stated age, with --target"},
+			&cli.FloatFlag{Name: "keyed", Value: load.DefaultMix.Keyed, Usage: "share of writes with a request key, with --target"},
+			&cli.FloatFlag{Name: "roam", Value: load.DefaultMix.Roam, Usage: "chance to change the VM before a request, with --target"},
+			stringFlag("plot", "", "file for a plot of the last run, .png or .svg"),
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, command *cli.Command) error {
+	if command.Int("callers") < 1 || command.Float("rate") <= 0 || command.Duration("duration") <= 0 {
+		return badInput("--callers, --rate and --duration must be more than zero")
+	}
+	if len(command.StringSlice("target")) > 0 {
+		return loadTargets(ctx, command)
+	}
+	return loadStandIns(ctx, command)
+}
+
+// loadTargets works on VMs that run elsewhere.
+func loadTargets(ctx context.Context, command *cli.Command) error {
+	if len(command.StringSlice("database")) == 0 {
+		return badInput("--database is missing")
+	}
+	mix := load.DefaultMix
+	mix.RatePerCaller = command.Float("rate")
+	shares := map[string]*float64{"reads": &mix.Reads, "aged": &mix.Aged, "keyed": &mix.Keyed, "roam": &mix.Roam}
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
+		if *shares[name] = command.Float(name); *shares[name] < 0 || *shares[name] > 1 {
+			return badInput("--%s is %v, want 0 to 1", name, *shares[name])
+		}
+	}
+	run := &load.Run{
+		Targets:   command.StringSlice("target"),
+		Databases: command.StringSlice("database"),
+		Callers:   command.Int("callers"),
+		Mix:       mix,
+		Seed:      command.Uint64("seed"),
+	}
+	loadCtx, cancel := context.WithTimeout(ctx, command.Duration("duration"))
+	defer cancel()
+	run.Do(loadCtx)
+	summary := run.Summary()
+	history, err := run.History(context.WithoutCancel(ctx))
+	if err != nil {
+		return errors.Wrap(err, "reading the final values")
+	}
+	report := check.Check(history)
+	if err := drawPlot(command, summary.Series, nil); err != nil {
+		return err
+	}
+	if err := printJSON(command.Root().Writer, struct {
+		load.Summary
+		check.Report
+	}{summary, report}); err != nil {
+		return err
+	}
+	if !report.IsClean() {
+		return errors.New("an invariant was broken; the tables must be empty before the run")
+	}
+	return nil
+}
+
+func drawPlot(command *cli.Command, series []load.Second, failovers []plot.Failover) error {
+	if command.String("plot") == "" {
+		return nil
+	}
+	return plot.Draw(command.String("plot"), series, failovers)
+}
+
+// loadStandIns runs each policy on a system of its own with the same seed.
+func loadStandIns(ctx context.Context, command *cli.Command) error {
+	deployment, ok := demo.Deployments[command.String("deployment")]
+	if !ok || !slices.Contains(demo.Faults, command.String("faults")) {
+		return badInput("--deployment is one of %v, --faults of %v", slices.Sorted(maps.Keys(demo.Deployments)), demo.Faults)
+	}
+	policies := command.StringSlice("policy")
+	if len(policies) == 0 {
+		policies = []string{"byCost"}
+	}
+	results := make(map[string]demo.Result)
+	for _, name := range policies {
+		baseline, ok := demo.Baselines[name]
+		if !ok {
+			return badInput("--policy %q is not one of %v", name, slices.Sorted(maps.Keys(demo.Baselines)))
+		}
+		result, err := loadPolicy(ctx, command, deployment, baseline)
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		results[name] = result
+		if !command.Bool("json") {
+			fmt.Fprintf(command.Root().Writer, "== %s\n", name)
+			if err := printResult(command, result); err != nil {
+				return err
+			}
+		}
+	}
+	if command.Bool("json") {
+		if err := printJSON(command.Root().Writer, results); err != nil {
+			return err
+		}
+	}
+	if result, ok := results["byCost"]; ok && !result.IsClean() {
+		return errors.New("an invariant was broken")
+	}
+	return nil
+}
+
+func loadPolicy(ctx context.Context, command *cli.Command, deployment demo.Deployment, baseline demo.Baseline) (demo.Result, error) {
+	cluster := &demo.Cluster{Deployment: deployment, Seed: command.Uint64("seed"), Baseline: baseline}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := cluster.Start(startCtx); err != nil {
+		return demo.Result{}, err
+	}
+	defer cluster.Stop()
+	if err := cluster.Ready(startCtx); err != nil {
+		return demo.Result{}, err
+	}
+	run := &demo.Demo{
+		Cluster:  cluster,
+		Duration: command.Duration("duration"),
+		Faults:   command.String("faults"),
+		Callers:  command.Int("callers"),
+		Rate:     command.Float("rate"),
+	}
+	if isTerminal(command.Root().ErrWriter) {
+		run.Progress = command.Root().ErrWriter
+	}
+	result, err := run.Run(ctx)
+	if err != nil {
+		return result, err
+	}
+	return result, drawPlot(command, result.Load.Series, run.Failovers())
+}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -48,6 +48,8 @@
 	// Lag returns the replication lag; nil is the one of the target.
 	Lag    func() time.Duration
 	Logger *logrus.Logger
+	// Baseline replaces the product's policy by one that it is measured against.
+	Baseline Baseline
 
 	Store  *fakekv.Server
 	Net    *links.Net
@@ -240,6 +242,8 @@
 	vm := &serve.VM{
 		Settings: settings,
 		Logger:   cluster.Logger,
+		Policy:   cluster.Baseline.Policy,
+		Limits:   cluster.Baseline.Limits,
 		Dial:     dial,
 		Control:  gctl.New(dial),
 		Store:    &httpkv.Client{Base: settings.Store, Dial: dial},
--- a/demo/run.go
+++ b/demo/run.go
@@ -17,6 +17,7 @@
 	"github.com/bramleydoor/bramleydoor/check"
 	"github.com/bramleydoor/bramleydoor/fakekv"
 	"github.com/bramleydoor/bramleydoor/load"
+	"github.com/bramleydoor/bramleydoor/plot"
 	"github.com/bramleydoor/bramleydoor/route"
 )
 
@@ -36,7 +37,8 @@
 	load   *load.Run
 	random *rand.Rand
 	mu     sync.Mutex
-	gaps   []time.Duration
+	began  time.Time
+	gaps   []plot.Failover
 	faults map[string]int
 }
 
@@ -74,6 +76,7 @@
 // Run puts load and faults on a cluster that is ready, and judges the history.
 func (demo *Demo) Run(ctx context.Context) (Result, error) {
 	demo.prepare()
+	demo.began = time.Now()
 	loadCtx, stop := context.WithTimeout(ctx, demo.Duration)
 	defer stop()
 	var background sync.WaitGroup
@@ -126,16 +129,10 @@
 			return
 		}
 		done, failed := demo.load.Progress()
-		fmt.Fprintf(demo.Progress, "%3d s: %d answered, %d failed, %d failovers\n", second, done, failed, demo.failovers())
+		fmt.Fprintf(demo.Progress, "%3d s: %d answered, %d failed, %d failovers\n", second, done, failed, len(demo.Failovers()))
 	}
 }
 
-func (demo *Demo) failovers() int {
-	demo.mu.Lock()
-	defer demo.mu.Unlock()
-	return len(demo.gaps)
-}
-
 // Timing of the faults.
 const (
 	// calmBefore is the time before the first fault, calmBetween between two.
@@ -258,7 +255,7 @@
 	select {
 	case <-acked:
 		demo.mu.Lock()
-		demo.gaps = append(demo.gaps, time.Since(since))
+		demo.gaps = append(demo.gaps, plot.Failover{At: since.Sub(demo.began), Gap: time.Since(since)})
 		demo.mu.Unlock()
 	case <-ctx.Done():
 	}
@@ -352,13 +349,20 @@
 // maxGapMs is the longest gap that is told apart.
 const maxGapMs = 120_000
 
-func summarize(gaps []time.Duration) Gap {
+func summarize(gaps []plot.Failover) Gap {
 	histogram := hdrhistogram.New(1, maxGapMs, 3)
 	for _, gap := range gaps {
-		_ = histogram.RecordValue(gap.Milliseconds())
+		_ = histogram.RecordValue(gap.Gap.Milliseconds())
 	}
 	return Gap{Count: len(gaps), P50: histogram.ValueAtQuantile(50), Max: histogram.Max()}
 }
 
 // Ops returns the history's operations so far.
 func (demo *Demo) Ops() []check.Op { return demo.load.Ops() }
+
+// Failovers returns the failovers of the run, for a plot.
+func (demo *Demo) Failovers() []plot.Failover {
+	demo.mu.Lock()
+	defer demo.mu.Unlock()
+	return append([]plot.Failover(nil), demo.gaps...)
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -64,7 +64,7 @@
 	}
 	failed := make(map[string]bool)
 	for {
-		read := holder.Read{Session: session.who(), Floor: floor, Staleness: session.settings.staleness, Failed: failed}
+		read := holder.Read{Session: session.who(), Floor: floor, Staleness: session.settings.staleness, LastWrite: session.lastWrite, Failed: failed}
 		conn, choice, err := session.holder.Read(ctx, read)
 		if err != nil {
 			return err
@@ -111,6 +111,7 @@
 // serveWrite sends a request to the primary. A primary that refuses because it
 // leads no longer has not run it, so it waits for the next one.
 func (session *session) serveWrite(ctx context.Context, req *request) error {
+	session.lastWrite = session.server.Clock.Now()
 	for {
 		conn, err := session.holder.Write(ctx, session.who())
 		if err != nil {
--- a/entry/session.go
+++ b/entry/session.go
@@ -42,6 +42,8 @@
 
 	floor    posn.Position
 	hasFloor bool
+	// lastWrite is when the session last sent something to the primary.
+	lastWrite time.Time
 	// told is the position of the token that was reported last.
 	told posn.Position
 
--- a/entry/startup.go
+++ b/entry/startup.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fault"
 )
 
@@ -225,6 +226,9 @@
 		return
 	}
 	session.server.Stats.Refuse(failure.Reason)
+	session.server.Events.Write(event.CallerRefused, event.Fields{
+		"reason": string(failure.Reason), "remote": session.conn.RemoteAddr().String(),
+	})
 	backend := session.backend
 	if backend == nil {
 		backend = pgproto3.NewBackend(session.conn, session.conn)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,7 +11,7 @@
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/kernel"
 	"github.com/bramleydoor/bramleydoor/member"
-	"github.com/bramleydoor/bramleydoor/peer"
+	"github.com/bramleydoor/bramleydoor/probe"
 	"github.com/bramleydoor/bramleydoor/roster"
 	"github.com/bramleydoor/bramleydoor/share"
 )
@@ -20,8 +20,10 @@
 const (
 	// Period is the time between probes.
 	Period = 200 * time.Millisecond
-	// probes is how many VMs are probed in a period.
-	probes = 2
+	// probes is how many VMs are probed in a period in a fleet of up to smallFleet.
+	// In a larger one each VM is probed by one other in a period on average.
+	probes     = 2
+	smallFleet = 8
 	// helpers is how many VMs are asked to probe one that doesn't answer.
 	helpers = 2
 	// listInterval is how often the platform's list is read.
@@ -31,15 +33,15 @@
 // Gossip is a duty. Set the exported fields before Run.
 type Gossip struct {
 	Self   member.Member
-	Peers  *peer.Client
+	Probes *probe.Endpoint
 	Lists  []roster.List
 	Clock  clock.Clock
 	Events *event.Log
 	// Fill adds what else a VM tells with each message.
-	Fill func(ping *peer.Ping)
+	Fill func(ping *probe.Message)
 	// Heard is called with each message of another VM, and when it was asked for;
 	// the time is zero for one that came unasked.
-	Heard func(ping peer.Ping, at time.Time)
+	Heard func(ping probe.Message, at time.Time)
 
 	mu    sync.Mutex
 	table *member.Table
@@ -81,7 +83,7 @@
 func (gossip *Gossip) runProbes(ctx context.Context) error {
 	for ctx.Err() == nil {
 		next := gossip.Clock.After(Period)
-		for range probes {
+		for range gossip.probes() {
 			if target, ok := gossip.nextTarget(); ok {
 				go gossip.probe(ctx, target)
 			}
@@ -95,6 +97,13 @@
 	return ctx.Err()
 }
 
+func (gossip *Gossip) probes() int {
+	if len(gossip.Live()) > smallFleet {
+		return 1
+	}
+	return probes
+}
+
 func (gossip *Gossip) nextTarget() (member.Member, bool) {
 	gossip.mu.Lock()
 	defer gossip.mu.Unlock()
@@ -133,7 +142,7 @@
 // ask sends one message. With a target, it returns whether that one answered.
 func (gossip *Gossip) ask(ctx context.Context, to member.Member, target string) bool {
 	sentAt := gossip.Clock.Now()
-	answer, err := gossip.Peers.Ping(ctx, to.Address, gossip.message(to.ID, target))
+	answer, err := gossip.Probes.Ask(ctx, to.Address, gossip.message(to.ID, target))
 	if err != nil {
 		return false
 	}
@@ -142,9 +151,9 @@
 }
 
 // message is what this VM tells another.
-func (gossip *Gossip) message(to, target string) peer.Ping {
+func (gossip *Gossip) message(to, target string) probe.Message {
 	gossip.mu.Lock()
-	ping := peer.Ping{From: gossip.Self.ID, Updates: gossip.table.Updates(to), Target: target}
+	ping := probe.Message{From: gossip.Self.ID, Updates: probe.FromMembers(gossip.table.Updates(to)), Target: target}
 	gossip.mu.Unlock()
 	if gossip.Fill != nil {
 		gossip.Fill(&ping)
@@ -152,14 +161,17 @@
 	return ping
 }
 
-func (gossip *Gossip) take(ping peer.Ping, at time.Time) {
+func (gossip *Gossip) take(ping probe.Message, at time.Time) {
 	now := gossip.Clock.Now()
 	gossip.mu.Lock()
 	before := len(gossip.live)
-	for _, update := range ping.Updates {
-		gossip.table.Apply(update, now)
+	hasChanged := false
+	for _, update := range ping.Members() {
+		hasChanged = gossip.table.Apply(update, now) || hasChanged
+	}
+	if hasChanged {
+		gossip.refresh()
 	}
-	gossip.refresh()
 	joined := len(gossip.live) > before
 	gossip.mu.Unlock()
 	if joined {
@@ -170,13 +182,16 @@
 	}
 }
 
-// refresh renews the list of live VMs. The caller holds the lock.
+// refresh renews the list of live VMs, which costs by the size of the fleet. The
+// caller holds the lock.
 func (gossip *Gossip) refresh() { gossip.live = gossip.table.Live() }
 
 func (gossip *Gossip) tick() {
 	gossip.mu.Lock()
 	died := gossip.table.Tick(gossip.Clock.Now())
-	gossip.refresh()
+	if len(died) > 0 {
+		gossip.refresh()
+	}
 	gossip.mu.Unlock()
 	for _, dead := range died {
 		gossip.Events.Write(event.PeerLeft, event.Fields{"peer": dead.ID})
@@ -184,13 +199,13 @@
 }
 
 // Answer answers another VM's message.
-func (gossip *Gossip) Answer(ping peer.Ping) peer.Ping {
+func (gossip *Gossip) Answer(ping probe.Message) probe.Message {
 	gossip.take(ping, time.Time{})
 	answer := gossip.message(ping.From, "")
 	if ping.Target == "" {
 		return answer
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), peer.DefaultTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), probe.Timeout)
 	defer cancel()
 	if gossip.ask(ctx, member.Member{Address: ping.Target}, "") {
 		answer.Target = ping.Target
@@ -246,6 +261,6 @@
 }
 
 // Shares is the word on shares that a message carries.
-func Shares(ping peer.Ping, at time.Time) share.Word {
+func Shares(ping probe.Message, at time.Time) share.Word {
 	return share.Word{Epoch: ping.Epoch, IsClosed: ping.IsClosed, At: at}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fault"
 	"github.com/bramleydoor/bramleydoor/pool"
 	"github.com/bramleydoor/bramleydoor/posn"
@@ -44,8 +45,12 @@
 	Pool  *pool.Pool
 	Clock clock.Clock
 	Stats *stats.Stats
+	// Events may be nil.
+	Events *event.Log
 	// Zone is the VM's availability zone.
 	Zone string
+	// Policy is how reads are routed; nil is route.ByCost.
+	Policy route.Policy
 	// SendCancel sends a cancel request for a connection to its slot.
 	SendCancel func(conn *pool.Conn)
 
@@ -106,6 +111,8 @@
 	Session   pool.Session
 	Floor     posn.Position
 	Staleness time.Duration
+	// LastWrite is when the session last wrote, for baselines.
+	LastWrite time.Time
 	// Failed are slots that already failed this read.
 	Failed map[string]bool
 }
@@ -157,7 +164,7 @@
 		Exclude:     read.Failed,
 		Now:         now,
 	}
-	return route.Choose(query, holder.candidates(current, settings)), changed
+	return route.Apply(holder.Policy, query, holder.candidates(current, settings), now.Sub(read.LastWrite)), changed
 }
 
 // waitChange waits for a replica to catch up, or for any slot at all.
@@ -244,7 +251,10 @@
 		isFormer := isReady && slot.Sealed < term && !slot.FailingSince.IsZero()
 		isDead := slot.Refused && !slot.FailingSince.IsZero()
 		if isSilent || isFormer || isDead {
-			holder.Pool.Drop(name)
+			dropped := holder.Pool.Drop(name)
+			if dropped > 0 {
+				holder.Events.Write(event.SlotDropped, event.Fields{"group": holder.Settings().Group.Name, "slot": name, "connections": dropped})
+			}
 		}
 	}
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -28,11 +28,6 @@
 	conns map[string]*rpc.Client
 }
 
-// Ping probes a VM.
-func (client *Client) Ping(ctx context.Context, address string, ping Ping) (Ping, error) {
-	return call[Ping](ctx, client, address, "Peer.Ping", &ping, DefaultTimeout)
-}
-
 // Opinion asks a VM for its view of a group's primary.
 func (client *Client) Opinion(ctx context.Context, address, group string) (detect.Opinion, error) {
 	return call[detect.Opinion](ctx, client, address, "Peer.Opinion", &OpinionQuery{Group: group}, DefaultTimeout)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -18,7 +18,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/detect"
-	"github.com/bramleydoor/bramleydoor/member"
 	"github.com/bramleydoor/bramleydoor/share"
 	"github.com/bramleydoor/bramleydoor/ticket"
 )
@@ -36,20 +35,6 @@
 // ErrStranger says that the other side doesn't know the key.
 var ErrStranger = errors.New("peer does not know the key")
 
-// Ping is a probe; the same is the answer.
-type Ping struct {
-	From    string
-	Updates []member.Member
-	// Target, if set, asks for a probe of that address on the sender's behalf.
-	Target string
-	// Epoch is that of the sender's view of the connection shares; IsClosed says
-	// that its connections fit its share in it.
-	Epoch    uint64
-	IsClosed bool
-	// Number is the sender's configuration number.
-	Number uint64
-}
-
 // OpinionQuery asks for the view of a group's primary.
 type OpinionQuery struct{ Group string }
 
@@ -78,7 +63,6 @@
 
 // Handler answers the calls of other VMs.
 type Handler interface {
-	Ping(ping Ping) Ping
 	Opinion(query OpinionQuery) detect.Opinion
 	Tickets(ctx context.Context, query TicketQuery) TicketReply
 	Shares() share.View
@@ -97,13 +81,6 @@
 	return func() { <-service.slots }
 }
 
-// Ping answers a probe.
-func (service *service) Ping(ping *Ping, reply *Ping) error {
-	defer service.enter()()
-	*reply = service.handler.Ping(*ping)
-	return nil
-}
-
 // Opinion answers for one group.
 func (service *service) Opinion(query *OpinionQuery, reply *detect.Opinion) error {
 	defer service.enter()()
--- a/serve/groups.go
+++ b/serve/groups.go
@@ -76,7 +76,9 @@
 		Pool:       connections,
 		Clock:      vm.Clock,
 		Stats:      &vm.Stats,
+		Events:     vm.events,
 		Zone:       vm.Settings.Zone,
+		Policy:     vm.Policy,
 		SendCancel: vm.cancelUpstream(settings.Group.Name),
 	}
 	connections.Open = func(ctx context.Context, slot string) (*pool.Conn, error) {
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -10,6 +10,7 @@
 	"github.com/bramleydoor/bramleydoor/member"
 	"github.com/bramleydoor/bramleydoor/owner"
 	"github.com/bramleydoor/bramleydoor/peer"
+	"github.com/bramleydoor/bramleydoor/probe"
 	"github.com/bramleydoor/bramleydoor/share"
 	"github.com/bramleydoor/bramleydoor/store"
 )
@@ -19,9 +20,6 @@
 
 func (handler *handler) vm() *VM { return (*VM)(handler) }
 
-// Ping answers a probe.
-func (handler *handler) Ping(ping peer.Ping) peer.Ping { return handler.gossip.Answer(ping) }
-
 // Opinion answers for one group.
 func (handler *handler) Opinion(query peer.OpinionQuery) detect.Opinion {
 	return handler.opinion(query.Group)
@@ -97,7 +95,7 @@
 	return reply, ranked[0], err
 }
 
-func (vm *VM) fillPing(ping *peer.Ping) {
+func (vm *VM) fillPing(ping *probe.Message) {
 	ping.Epoch, ping.IsClosed = vm.shares.word()
 	ping.Number = vm.relay.State().Number
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -30,8 +30,10 @@
 	"github.com/bramleydoor/bramleydoor/owner"
 	"github.com/bramleydoor/bramleydoor/peer"
 	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/probe"
 	"github.com/bramleydoor/bramleydoor/relay"
 	"github.com/bramleydoor/bramleydoor/roster"
+	"github.com/bramleydoor/bramleydoor/route"
 	"github.com/bramleydoor/bramleydoor/stats"
 	"github.com/bramleydoor/bramleydoor/store"
 )
@@ -46,11 +48,15 @@
 	Logger   *logrus.Logger
 	// Dial replaces the network in tests and demos.
 	Dial Dialer
+	// Blocked drops datagrams to and from an address, in tests and demos.
+	Blocked func(address string) bool
 	// Store and Control replace the adapters that the settings name.
 	Store   store.Store
 	Control group.Control
 	// Limits are the patience of the failure detector.
 	Limits detect.Limits
+	// Policy is how reads are routed; nil is the product's. Others are baselines.
+	Policy route.Policy
 
 	Stats stats.Stats
 
@@ -58,6 +64,7 @@
 	entry  *entry.Server
 	server *peer.Server
 	peers  *peer.Client
+	probes *probe.Endpoint
 	gossip *gossip.Gossip
 	relay  *relay.Relay
 	shares shares
@@ -163,6 +170,17 @@
 		OnRefused: vm.refusePeer,
 	}
 	vm.peers = &peer.Client{Key: []byte(vm.Settings.PeerKey), Dial: vm.Dial}
+	datagrams, err := net.ListenPacket("udp", peers.Addr().String())
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "peer"), errors.CombineErrors(callers.Close(), peers.Close()))
+	}
+	vm.probes = &probe.Endpoint{
+		Conn:    datagrams,
+		Key:     []byte(vm.Settings.PeerKey),
+		Answer:  func(message probe.Message) probe.Message { return vm.gossip.Answer(message) },
+		OnBad:   func(remote string, _ error) { vm.refusePeer(remote) },
+		Blocked: vm.Blocked,
+	}
 	vm.openDuties(peers.Addr().String())
 	return nil
 }
@@ -175,7 +193,7 @@
 			Zone:        vm.Settings.Zone,
 			Incarnation: uint64(vm.Clock.Now().UnixMilli()),
 		},
-		Peers:  vm.peers,
+		Probes: vm.probes,
 		Lists:  []roster.List{roster.Fixed(vm.Settings.Seeds), roster.StoreList{Store: vm.Store}},
 		Clock:  vm.Clock,
 		Events: vm.events,
@@ -219,6 +237,7 @@
 	err := kernel.Run(ctx,
 		vm.entry,
 		vm.server,
+		vm.probes,
 		vm.gossip,
 		vm.relay,
 		kernel.DutyFunc(vm.shares.run),
--- a/serve/shares.go
+++ b/serve/shares.go
@@ -12,7 +12,7 @@
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/gossip"
 	"github.com/bramleydoor/bramleydoor/owner"
-	"github.com/bramleydoor/bramleydoor/peer"
+	"github.com/bramleydoor/bramleydoor/probe"
 	"github.com/bramleydoor/bramleydoor/share"
 	"github.com/bramleydoor/bramleydoor/store"
 	"github.com/bramleydoor/bramleydoor/ticket"
@@ -77,7 +77,7 @@
 }
 
 // heard takes in what a peer says of itself.
-func (shares *shares) heard(ping peer.Ping, at time.Time) {
+func (shares *shares) heard(ping probe.Message, at time.Time) {
 	now := shares.vm.Clock.Now()
 	shares.mu.Lock()
 	shares.state = shares.state.WithWord(ping.From, gossip.Shares(ping, at), now)
