Hold no buffer for an idle caller

Cause: the protocol library's reader keeps 8 KB for each connection; an idle caller took 13,210 B, over the 8 KB aimed at.

Change: package frame waits for readability without a buffer and decodes with the library's message types; short answers use pooled buffers.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -79,20 +79,20 @@
 
 // answerError sends an error, and the end of the answer if ready.
 func (session *session) answerError(failure *fault.Error, ready bool) error {
-	session.backend.Send(errorResponse("ERROR", failure))
+	session.sender.Send(errorResponse("ERROR", failure))
 	if ready {
 		return session.answerReady()
 	}
-	return session.backend.Flush()
+	return session.sender.Flush()
 }
 
 func (session *session) answerReady() error {
-	session.backend.Send(&pgproto3.ReadyForQuery{TxStatus: session.status})
-	return session.backend.Flush()
+	session.sender.Send(&pgproto3.ReadyForQuery{TxStatus: session.status})
+	return session.sender.Flush()
 }
 
 // answerTag answers a simple statement that the proxy carried out itself.
 func (session *session) answerTag(tag string) error {
-	session.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	session.sender.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	return session.answerReady()
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -221,7 +221,7 @@
 	}
 	pending := 0
 	for {
-		message, err := session.backend.Receive()
+		message, err := session.reader.Receive()
 		if err != nil {
 			return err
 		}
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -213,7 +213,7 @@
 		return session.finish(ctx, position)
 	}
 	session.answerBatch(req, tag)
-	if err := session.backend.Flush(); err != nil {
+	if err := session.sender.Flush(); err != nil {
 		return err
 	}
 	return session.finish(ctx, position)
--- a/entry/local.go
+++ b/entry/local.go
@@ -69,18 +69,18 @@
 	for _, message := range req.messages {
 		switch message := message.(type) {
 		case *pgproto3.Parse:
-			session.backend.Send(madeParse)
+			session.sender.Send(madeParse)
 		case *pgproto3.Bind:
-			session.backend.Send(&pgproto3.BindComplete{})
+			session.sender.Send(&pgproto3.BindComplete{})
 		case *pgproto3.Describe:
 			if message.ObjectType == 'S' {
-				session.backend.Send(&pgproto3.ParameterDescription{})
+				session.sender.Send(&pgproto3.ParameterDescription{})
 			}
-			session.backend.Send(&pgproto3.NoData{})
+			session.sender.Send(&pgproto3.NoData{})
 		case *pgproto3.Execute:
-			session.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			session.sender.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 		case *pgproto3.Close:
-			session.backend.Send(madeClose)
+			session.sender.Send(madeClose)
 		}
 	}
 }
@@ -101,8 +101,8 @@
 		return err
 	}
 	if found.verb == "SHOW" {
-		session.backend.Send(showDescription(found))
-		session.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+		session.sender.Send(showDescription(found))
+		session.sender.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 	}
 	return session.answerTag(found.verb)
 }
@@ -158,36 +158,36 @@
 	if req.hasSync {
 		return session.answerReady()
 	}
-	return session.backend.Flush()
+	return session.sender.Flush()
 }
 
 func (session *session) answerCommandMessage(ctx context.Context, message pgproto3.FrontendMessage) error {
 	found := session.statementOf(message)
 	switch message := message.(type) {
 	case *pgproto3.Parse:
-		session.backend.Send(madeParse)
+		session.sender.Send(madeParse)
 	case *pgproto3.Bind:
-		session.backend.Send(&pgproto3.BindComplete{})
+		session.sender.Send(&pgproto3.BindComplete{})
 	case *pgproto3.Close:
-		session.backend.Send(madeClose)
+		session.sender.Send(madeClose)
 	case *pgproto3.Describe:
 		if message.ObjectType == 'S' {
-			session.backend.Send(&pgproto3.ParameterDescription{})
+			session.sender.Send(&pgproto3.ParameterDescription{})
 		}
 		if found != nil && found.command.verb == "SHOW" {
-			session.backend.Send(showDescription(found.command))
+			session.sender.Send(showDescription(found.command))
 			return nil
 		}
-		session.backend.Send(&pgproto3.NoData{})
+		session.sender.Send(&pgproto3.NoData{})
 	case *pgproto3.Execute:
 		value, err := session.runCommand(ctx, found.command)
 		if err != nil {
 			return err
 		}
 		if found.command.verb == "SHOW" {
-			session.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+			session.sender.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 		}
-		session.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(found.command.verb)})
+		session.sender.Send(&pgproto3.CommandComplete{CommandTag: []byte(found.command.verb)})
 	}
 	return nil
 }
--- a/entry/session.go
+++ b/entry/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fault"
+	"github.com/bramleydoor/bramleydoor/frame"
 	"github.com/bramleydoor/bramleydoor/holder"
 	"github.com/bramleydoor/bramleydoor/pool"
 	"github.com/bramleydoor/bramleydoor/posn"
@@ -18,9 +19,14 @@
 
 // session is one caller's connection.
 type session struct {
-	server  *Server
-	conn    net.Conn
+	server *Server
+	conn   net.Conn
+	// backend serves the startup; reader and sender take over after that, since
+	// it keeps a buffer for as long as it lives.
 	backend *pgproto3.Backend
+	source  *startupReader
+	reader  *frame.Reader
+	sender  sender
 	holder  *holder.Holder
 
 	user     string
@@ -75,13 +81,18 @@
 func (session *session) run(ctx context.Context) {
 	session.statements = make(map[string]*statement)
 	session.portals = make(map[string]*statement)
+	session.reader = &frame.Reader{Conn: session.conn, MaxBody: session.server.MaxMessage}
+	session.reader.Unread(session.source.rest())
+	defer session.reader.Release()
+	session.sender.conn = session.conn
+	session.backend, session.source = nil, nil
 	defer session.abandon()
 	for {
 		if session.atBoundary() && session.shouldStop() {
 			session.sayStopping()
 			return
 		}
-		message, err := session.backend.Receive()
+		message, err := session.reader.Receive()
 		if err != nil {
 			session.endInput(err)
 			return
@@ -115,8 +126,8 @@
 
 func (session *session) sayStopping() {
 	failure := fault.Refuse(fault.CodeStopping, fault.ReasonStopping, "the VM is stopping; connect again")
-	session.backend.Send(errorResponse("FATAL", failure))
-	_ = session.backend.Flush()
+	session.sender.Send(errorResponse("FATAL", failure))
+	_ = session.sender.Flush()
 }
 
 // endInput handles the end of the caller's input.
@@ -130,8 +141,8 @@
 		session.server.Stats.Refuse(fault.ReasonBadMessage)
 		session.server.Events.Write(event.CallerBroke, event.Fields{"error": err.Error(), "remote": session.conn.RemoteAddr().String()})
 		failure := fault.Refuse(fault.CodeProtocol, fault.ReasonBadMessage, "malformed or oversized message")
-		session.backend.Send(errorResponse("FATAL", failure))
-		_ = session.backend.Flush()
+		session.sender.Send(errorResponse("FATAL", failure))
+		_ = session.sender.Flush()
 	}
 }
 
--- a/entry/startup.go
+++ b/entry/startup.go
@@ -47,7 +47,7 @@
 	if err := session.conn.SetDeadline(time.Now().Add(server.StartupTimeout)); err != nil {
 		return err
 	}
-	backend := pgproto3.NewBackend(session.conn, session.conn)
+	backend := session.newBackend()
 	for {
 		message, err := backend.ReceiveStartupMessage()
 		if err != nil {
@@ -80,7 +80,13 @@
 		return nil, err
 	}
 	session.conn = tls.Server(session.conn, session.server.TLS)
-	return pgproto3.NewBackend(session.conn, session.conn), nil
+	return session.newBackend(), nil
+}
+
+// newBackend speaks the startup's part of the protocol.
+func (session *session) newBackend() *pgproto3.Backend {
+	session.source = newStartupReader(session.conn)
+	return pgproto3.NewBackend(session.source, session.conn)
 }
 
 func (session *session) passCancel(request *pgproto3.CancelRequest) {
