Let only a group's keeper poll its slots at the pace of detection

Cause: every VM asked every slot ten times a second. A group of three slots cost a VM 31.7 calls and 11,149 B each second at rest (BenchmarkSlopeWatch); at the target size a VM may spend 6 KB/s for all of control.

Change: a VM that does not keep a group follows the primary's progress and polls every 2 s, and polls fast for 5 s after a hint: a broken or late progress call, a slow request, or a keeper that asks for its opinion. The keeper asks at the first failed poll, so the others have looked by the time that it suspects. The classification of statements is a package of its own, stmt.

--- a/bench/slope_test.go
+++ b/bench/slope_test.go
@@ -70,7 +70,10 @@
 }
 
 // during runs for a while and returns processor seconds per second.
-const during = 3 * time.Second
+const during = 6 * time.Second
+
+// settle is the time before a measurement, longer than any hurry at the start.
+const settle = 6 * time.Second
 
 func cpuShare() float64 {
 	before := cpu()
@@ -109,6 +112,12 @@
 // BenchmarkSlopeWatch: what a VM spends to watch groups of three slots that are
 // idle. The processor time includes that of the stand-in's side.
 func BenchmarkSlopeWatch(b *testing.B) {
+	b.Run("keeper", func(b *testing.B) { slopeWatch(b, true) })
+	b.Run("holder", func(b *testing.B) { slopeWatch(b, false) })
+}
+
+func slopeWatch(b *testing.B, isKeeper bool) {
+	b.Helper()
 	slope(b, []int{5, 10, 20, 40}, func(size int) figures {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -126,11 +135,11 @@
 				slot := group.Slot(s)
 				described.Slots = append(described.Slots, ticket.Slot{Name: slot.Name(), Control: slot.Control()})
 			}
-			watches[i] = &watch.Watch{Control: control, Clock: clock.System{}, Interval: watch.DefaultInterval, Timeout: watch.DefaultTimeout}
+			watches[i] = &watch.Watch{Control: control, Clock: clock.System{}, Interval: watch.DefaultInterval, Timeout: watch.DefaultTimeout, IsKeeper: func() bool { return isKeeper }}
 			watches[i].SetGroup(described)
 			go func() { _ = watches[i].Run(ctx) }()
 		}
-		time.Sleep(time.Second)
+		time.Sleep(settle)
 		calls, bytes := sumCalls(watches), counted.bytes.Load()
 		share := cpuShare()
 		return figures{
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 
+	"github.com/bramleydoor/bramleydoor/stmt"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/bramleydoor/bramleydoor/fault"
@@ -19,18 +21,18 @@
 type statement struct {
 	parse    pgproto3.Parse
 	upstream string
-	kind     kind
-	command  *command
+	kind     stmt.Kind
+	command  *stmt.Command
 	// mayCommit says that running it may end a transaction.
 	mayCommit bool
 }
 
 func newStatement(message *pgproto3.Parse) *statement {
-	found := &statement{parse: *message, kind: classify(message.Query)}
+	found := &statement{parse: *message, kind: stmt.Classify(message.Query)}
 	found.parse.ParameterOIDs = append([]uint32(nil), message.ParameterOIDs...)
 	found.upstream = upstreamName(message)
-	found.command, _ = parseCommand(message.Query)
-	found.mayCommit = mayCommit(message.Query)
+	found.command, _ = stmt.ParseCommand(message.Query)
+	found.mayCommit = stmt.MayCommit(message.Query)
 	return found
 }
 
@@ -54,7 +56,7 @@
 type request struct {
 	messages []pgproto3.FrontendMessage
 	// statements are those that messages refer to, in order.
-	kind      kind
+	kind      stmt.Kind
 	mayCommit bool
 	// isSimple is a single Query message; hasSync says that ReadyForQuery ends
 	// the answer.
@@ -297,11 +299,11 @@
 // takeBatch makes a request of the collected messages.
 func (session *session) takeBatch(end pgproto3.FrontendMessage) *request {
 	_, hasSync := end.(*pgproto3.Sync)
-	req := &request{messages: append(session.batch, end), hasSync: hasSync, kind: kindRead, bytes: session.batchBytes}
+	req := &request{messages: append(session.batch, end), hasSync: hasSync, kind: stmt.Read, bytes: session.batchBytes}
 	for _, found := range session.executed {
 		req.text = found.parse.Query
 		req.mayCommit = req.mayCommit || found.mayCommit
-		if found.kind != kindRead || session.isKnownWrite(found.parse.Query) {
+		if found.kind != stmt.Read || session.isKnownWrite(found.parse.Query) {
 			req.kind = found.kind
 		}
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -5,6 +5,8 @@
 	"regexp"
 	"strings"
 
+	"github.com/bramleydoor/bramleydoor/stmt"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -23,25 +25,26 @@
 	defer session.setWait(nil)
 	session.output.open()
 	defer session.output.close()
+	defer session.holder.WatchSlow()()
 	if session.pinned != nil {
 		return session.servePinned(ctx, req)
 	}
 	switch req.kind {
-	case kindCommit, kindRollback:
+	case stmt.Commit, stmt.Rollback:
 		// Outside of a transaction these do nothing.
-		tag := firstWord(req.text)
+		tag := stmt.FirstWord(req.text)
 		session.answerBatch(req, tag)
 		if req.isSimple {
 			return session.answerTag(tag)
 		}
 		return session.answerReady()
-	case kindRead, kindBeginReadOnly, kindSet:
+	case stmt.Read, stmt.BeginReadOnly, stmt.Set:
 		return session.serveRead(ctx, req)
-	case kindBegin:
+	case stmt.Begin:
 		if session.isReadOnly {
 			return session.serveRead(ctx, req)
 		}
-	case kindWrite:
+	case stmt.Write:
 		if session.settings.isKeyArmed {
 			return session.serveKeyed(ctx, req)
 		}
@@ -147,7 +150,7 @@
 		session.giveBack(conn, err)
 		return err
 	}
-	if req.kind == kindSet && !outcome.isError && isSessionSetting(req.text) {
+	if req.kind == stmt.Set && !outcome.isError && isSessionSetting(req.text) {
 		if err := session.addUpstreamSetting(req.text); err != nil {
 			session.holder.Pool.Discard(conn)
 			return err
@@ -165,7 +168,7 @@
 
 var notSessionSetting = regexp.MustCompile(`(?i)^SET\s+(LOCAL|TRANSACTION|CONSTRAINTS)\b`)
 
-func isSessionSetting(text string) bool { return !notSessionSetting.MatchString(skipBlanks(text)) }
+func isSessionSetting(text string) bool { return !notSessionSetting.MatchString(stmt.SkipBlanks(text)) }
 
 func (session *session) applySettings(conn *pool.Conn) error {
 	if len(session.upstreamSettings) == 0 {
@@ -196,7 +199,7 @@
 // servePinned continues a transaction.
 func (session *session) servePinned(ctx context.Context, req *request) error {
 	conn := session.pinned
-	if req.kind == kindCommit && session.settings.isKeyArmed && conn.Status == 'T' {
+	if req.kind == stmt.Commit && session.settings.isKeyArmed && conn.Status == 'T' {
 		if err := session.recordKey(conn, "COMMIT"); err != nil {
 			return session.failPinned(err, req)
 		}
@@ -207,7 +210,7 @@
 	if err != nil {
 		return session.failPinned(err, req)
 	}
-	if req.kind == kindSet && !outcome.isError && isSessionSetting(req.text) {
+	if req.kind == stmt.Set && !outcome.isError && isSessionSetting(req.text) {
 		if err := session.addUpstreamSetting(req.text); err != nil {
 			return session.failPinned(err, req)
 		}
@@ -254,7 +257,7 @@
 // breakTransaction leaves the caller in a failed transaction, so that its next
 // statements aren't taken for ones outside of it.
 func (session *session) breakTransaction(req *request) {
-	if req.kind == kindCommit || req.kind == kindRollback {
+	if req.kind == stmt.Commit || req.kind == stmt.Rollback {
 		session.endTransaction()
 		return
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -4,6 +4,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/bramleydoor/bramleydoor/stmt"
+
 	"github.com/bramleydoor/bramleydoor/fault"
 	"github.com/bramleydoor/bramleydoor/pool"
 	"github.com/bramleydoor/bramleydoor/posn"
@@ -197,12 +199,12 @@
 		ex.session.isSkipping = true
 	}
 	isWriteRefused := message.Code == fault.CodeReadOnly && !ex.isPinned && !ex.session.output.isFlushed
-	if isWriteRefused && ex.req.kind != kindBeginReadOnly && !ex.session.isReadOnly {
+	if isWriteRefused && ex.req.kind != stmt.BeginReadOnly && !ex.session.isReadOnly {
 		ex.isRefused = true
 		return nil
 	}
 	verdict := fault.NotRun
-	if ex.req.mayCommit && hasMore(ex.req.text) {
+	if ex.req.mayCommit && stmt.HasMore(ex.req.text) {
 		verdict = fault.Unknown
 	}
 	if message.Detail != "" {
--- a/entry/local.go
+++ b/entry/local.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"strings"
+
+	"github.com/bramleydoor/bramleydoor/stmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -16,18 +17,18 @@
 		return true, session.serveBroken(req)
 	}
 	switch req.kind {
-	case kindRefused:
+	case stmt.Refused:
 		return true, fault.Refuse(fault.CodeUnsupported, fault.ReasonUnsupported,
-			"the statement needs a connection of its own, which a pooled session doesn't have: "+firstWord(req.text))
-	case kindReset, kindDiscard:
+			"the statement needs a connection of its own, which a pooled session doesn't have: "+stmt.FirstWord(req.text))
+	case stmt.Reset, stmt.Discard:
 		if session.pinned == nil && req.isSimple {
-			if _, ok := parseCommand(req.text); !ok {
+			if _, ok := stmt.ParseCommand(req.text); !ok {
 				return true, session.serveReset(req)
 			}
 		}
 	}
 	if req.isSimple {
-		found, ok := parseCommand(req.text)
+		found, ok := stmt.ParseCommand(req.text)
 		if !ok {
 			return false, nil
 		}
@@ -39,18 +40,10 @@
 	return true, session.serveCommandBatch(ctx, req)
 }
 
-func firstWord(text string) string {
-	fields := strings.Fields(skipBlanks(text))
-	if len(fields) == 0 {
-		return ""
-	}
-	return strings.ToUpper(fields[0])
-}
-
 // serveBroken answers in a transaction whose connection was lost, as an
 // upstream does in a failed one.
 func (session *session) serveBroken(req *request) error {
-	if req.kind != kindCommit && req.kind != kindRollback {
+	if req.kind != stmt.Commit && req.kind != stmt.Rollback {
 		// in_failed_sql_transaction
 		return fault.Refuse("25P02", fault.ReasonUpstreamLost, "the transaction was lost with its connection; end it with ROLLBACK")
 	}
@@ -88,29 +81,29 @@
 func (session *session) serveReset(req *request) error {
 	session.upstreamSettings, session.isReadOnly = nil, false
 	session.settings, session.outer = settings{}, settings{}
-	if req.kind == kindDiscard {
+	if req.kind == stmt.Discard {
 		session.statements = make(map[string]*statement)
 		return session.answerTag("DISCARD ALL")
 	}
 	return session.answerTag("RESET")
 }
 
-func (session *session) serveCommand(ctx context.Context, found *command) error {
+func (session *session) serveCommand(ctx context.Context, found *stmt.Command) error {
 	value, err := session.runCommand(ctx, found)
 	if err != nil {
 		return err
 	}
-	if found.verb == "SHOW" {
+	if found.Verb == "SHOW" {
 		session.sender.Send(showDescription(found))
 		session.sender.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 	}
-	return session.answerTag(found.verb)
+	return session.answerTag(found.Verb)
 }
 
 const textOID = 25
 
-func showDescription(found *command) *pgproto3.RowDescription {
-	field := pgproto3.FieldDescription{Name: []byte(found.name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}
+func showDescription(found *stmt.Command) *pgproto3.RowDescription {
+	field := pgproto3.FieldDescription{Name: []byte(found.Name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}
 	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}}
 }
 
@@ -174,7 +167,7 @@
 		if message.ObjectType == 'S' {
 			session.sender.Send(&pgproto3.ParameterDescription{})
 		}
-		if found != nil && found.command.verb == "SHOW" {
+		if found != nil && found.command.Verb == "SHOW" {
 			session.sender.Send(showDescription(found.command))
 			return nil
 		}
@@ -184,10 +177,10 @@
 		if err != nil {
 			return err
 		}
-		if found.command.verb == "SHOW" {
+		if found.command.Verb == "SHOW" {
 			session.sender.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 		}
-		session.sender.Send(&pgproto3.CommandComplete{CommandTag: []byte(found.command.verb)})
+		session.sender.Send(&pgproto3.CommandComplete{CommandTag: []byte(found.command.Verb)})
 	}
 	return nil
 }
--- a/entry/session.go
+++ b/entry/session.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/bramleydoor/bramleydoor/stmt"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -219,15 +221,15 @@
 func (session *session) handleQuery(ctx context.Context, text string) error {
 	req := &request{
 		messages:  []pgproto3.FrontendMessage{&pgproto3.Query{String: text}},
-		kind:      classify(text),
-		mayCommit: mayCommit(text),
+		kind:      stmt.Classify(text),
+		mayCommit: stmt.MayCommit(text),
 		isSimple:  true,
 		hasSync:   true,
 		text:      text,
 		bytes:     len(text),
 	}
-	if req.kind == kindRead && session.isKnownWrite(text) {
-		req.kind = kindWrite
+	if req.kind == stmt.Read && session.isKnownWrite(text) {
+		req.kind = stmt.Write
 	}
 	return session.serve(ctx, req)
 }
--- a/entry/setting.go
+++ b/entry/setting.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/bramleydoor/bramleydoor/stmt"
+
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fault"
 )
@@ -38,36 +40,7 @@
 	isKeyArmed bool
 }
 
-// command is a statement about bramleydoor's own settings.
-type command struct {
-	verb    string // SET, SHOW or RESET
-	name    string
-	value   string
-	isLocal bool
-}
-
-var (
-	setPattern   = regexp.MustCompile(`(?is)^SET\s+(?:(SESSION|LOCAL)\s+)?(bramley\.\w+)\s*(?:=|\s+TO\s+)\s*('(?:[^']|'')*'|[\w.+-]+)\s*;?\s*$`)
-	showPattern  = regexp.MustCompile(`(?is)^(SHOW|RESET)\s+(bramley\.\w+)\s*;?\s*$`)
-	readOnlyText = regexp.MustCompile(`(?is)^SET\s+(?:SESSION\s+)?(?:CHARACTERISTICS\s+AS\s+TRANSACTION\s+READ\s+ONLY|default_transaction_read_only\s*(?:=|TO)\s*'?(?:on|true|1)'?)\s*;?\s*$`)
-)
-
-// parseCommand returns the command in text, if it is about our own settings.
-func parseCommand(text string) (*command, bool) {
-	text = skipBlanks(text)
-	if match := setPattern.FindStringSubmatch(text); match != nil {
-		value := match[3]
-		if strings.HasPrefix(value, "'") {
-			value = strings.ReplaceAll(value[1:len(value)-1], "''", "'")
-		}
-		isLocal := strings.EqualFold(match[1], "LOCAL")
-		return &command{verb: "SET", name: strings.ToLower(match[2]), value: value, isLocal: isLocal}, true
-	}
-	if match := showPattern.FindStringSubmatch(text); match != nil {
-		return &command{verb: strings.ToUpper(match[1]), name: strings.ToLower(match[2])}, true
-	}
-	return nil, false
-}
+var readOnlyText = regexp.MustCompile(`(?is)^SET\s+(?:SESSION\s+)?(?:CHARACTERISTICS\s+AS\s+TRANSACTION\s+READ\s+ONLY|default_transaction_read_only\s*(?:=|TO)\s*'?(?:on|true|1)'?)\s*;?\s*$`)
 
 func invalid(message string) error {
 	return fault.Refuse(fault.CodeInvalidSetting, fault.ReasonBadMessage, message)
@@ -121,14 +94,14 @@
 }
 
 // run carries out a command and returns the text that SHOW answers with.
-func (session *session) runCommand(ctx context.Context, command *command) (string, error) {
-	switch command.verb {
+func (session *session) runCommand(ctx context.Context, command *stmt.Command) (string, error) {
+	switch command.Verb {
 	case "SET":
-		return "", session.set(command.name, command.value, command.isLocal)
+		return "", session.set(command.Name, command.Value, command.IsLocal)
 	case "RESET":
-		return "", session.set(command.name, "", false)
+		return "", session.set(command.Name, "", false)
 	}
-	switch command.name {
+	switch command.Name {
 	case settingStaleness:
 		return session.settings.staleness.String(), nil
 	case settingRequestKey:
@@ -138,7 +111,7 @@
 	case settingOutcome:
 		return session.outcomeOf(ctx, session.settings.key)
 	}
-	return "", invalid("unknown setting " + command.name)
+	return "", invalid("unknown setting " + command.Name)
 }
 
 // addUpstreamSetting remembers a SET that is repeated on each connection.
@@ -146,7 +119,7 @@
 	if len(session.upstreamSettings) >= maxUpstreamSettings {
 		return fault.Refuse(fault.CodeUnsupported, fault.ReasonTooLarge, "too many session settings")
 	}
-	if readOnlyText.MatchString(skipBlanks(text)) {
+	if readOnlyText.MatchString(stmt.SkipBlanks(text)) {
 		session.isReadOnly = true
 	}
 	session.upstreamSettings = append(session.upstreamSettings, strings.TrimRight(strings.TrimSpace(text), ";"))
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -30,8 +30,12 @@
 
 // Timing of a Holder.
 const (
-	// maxSilence is how long a slot may be silent and still be chosen.
-	maxSilence = time.Second
+	// maxSilence is how long a slot may be silent and still be chosen. Slots are
+	// asked seldom while nothing is amiss.
+	maxSilence = 2*watch.IdleInterval + time.Second
+	// slowAfter is how long a request may take before the VM looks whether its
+	// slot still answers.
+	slowAfter = 250 * time.Millisecond
 	// dropAfter is how long a slot fails to answer before its connections are
 	// closed, so that requests on them don't wait for ever.
 	dropAfter = 1200 * time.Millisecond
@@ -223,6 +227,12 @@
 	}
 }
 
+// WatchSlow makes the VM look after the group if a request takes long. Call the
+// returned function at its end.
+func (holder *Holder) WatchSlow() (stop func() bool) {
+	return time.AfterFunc(slowAfter, holder.Watch.Hurry).Stop
+}
+
 // Succeed fills the retry budget.
 func (holder *Holder) Succeed() { holder.budget.Fill() }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -68,10 +68,13 @@
 	suspected atomic.Bool
 	// isReported keeps one suspicion from being logged at each check.
 	isReported bool
+	isWarned   bool
 }
 
-// Opinion is this VM's own view of the primary.
+// Opinion is this VM's own view of the primary. Whoever asks has reason to, so
+// this VM looks closely from then on.
 func (keeper *Keeper) Opinion() detect.Opinion {
+	keeper.Watch.Hurry()
 	return detect.Opinion{
 		VM:        keeper.VM,
 		Term:      keeper.Watch.View().Term(),
@@ -87,10 +90,13 @@
 		current := keeper.Watch.View()
 		isFailed := keeper.tracker.Judge(current, keeper.Limits, keeper.Clock.Now())
 		keeper.suspected.Store(isFailed)
-		if !isFailed {
-			keeper.isReported = false
-		} else if keeper.IsKeeper() {
+		switch {
+		case isFailed && keeper.IsKeeper():
 			keeper.act(ctx, current)
+		case isFailed:
+		default:
+			keeper.isReported = false
+			keeper.warn(ctx, current)
 		}
 		select {
 		case <-next:
@@ -100,6 +106,17 @@
 	return ctx.Err()
 }
 
+// warn lets the other VMs look at a primary that failed to answer once, so that
+// they have a view of their own by the time that it is suspected.
+func (keeper *Keeper) warn(ctx context.Context, current view.View) {
+	primary, ok := current.Primary()
+	isFailing := ok && !primary.FailingSince.IsZero()
+	if isFailing && !keeper.isWarned && keeper.IsKeeper() {
+		keeper.Opinions(ctx)
+	}
+	keeper.isWarned = isFailing
+}
+
 func (keeper *Keeper) act(ctx context.Context, current view.View) {
 	slot, _ := current.Primary()
 	keeper.report(slot)
--- a/member/member.go
+++ b/member/member.go
@@ -61,7 +61,7 @@
 	// don't bring it back.
 	ForgetAfter = time.Minute
 	// MaxUpdates bounds the updates in one message.
-	MaxUpdates = 8
+	MaxUpdates = 4
 	// repeats is how often an update is passed on, times the logarithm of the
 	// fleet's size.
 	repeats = 3
--- a/serve/groups.go
+++ b/serve/groups.go
@@ -69,6 +69,7 @@
 		Clock:    vm.Clock,
 		Interval: vm.Settings.PollInterval,
 		Timeout:  watch.DefaultTimeout,
+		IsKeeper: func() bool { return vm.isKeeper(settings.Group.Name) },
 	}
 	connections := &pool.Pool{Clock: vm.Clock}
 	held := &holder.Holder{
--- /dev/null
+++ b/stmt/command.go
@@ -0,0 +1,36 @@
+package stmt
+
+import (
+	"regexp"
+	"strings"
+)
+
+// Command is a statement about bramleydoor's own settings.
+type Command struct {
+	Verb    string // SET, SHOW or RESET
+	Name    string
+	Value   string
+	IsLocal bool
+}
+
+var (
+	setPattern  = regexp.MustCompile(`(?is)^SET\s+(?:(SESSION|LOCAL)\s+)?(bramley\.\w+)\s*(?:=|\s+TO\s+)\s*('(?:[^']|'')*'|[\w.+-]+)\s*;?\s*$`)
+	showPattern = regexp.MustCompile(`(?is)^(SHOW|RESET)\s+(bramley\.\w+)\s*;?\s*$`)
+)
+
+// ParseCommand returns the command in text, if it is about our own settings.
+func ParseCommand(text string) (*Command, bool) {
+	text = SkipBlanks(text)
+	if match := setPattern.FindStringSubmatch(text); match != nil {
+		value := match[3]
+		if strings.HasPrefix(value, "'") {
+			value = strings.ReplaceAll(value[1:len(value)-1], "''", "'")
+		}
+		isLocal := strings.EqualFold(match[1], "LOCAL")
+		return &Command{Verb: "SET", Name: strings.ToLower(match[2]), Value: value, IsLocal: isLocal}, true
+	}
+	if match := showPattern.FindStringSubmatch(text); match != nil {
+		return &Command{Verb: strings.ToUpper(match[1]), Name: strings.ToLower(match[2])}, true
+	}
+	return nil, false
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -26,8 +26,15 @@
 const (
 	DefaultInterval = 100 * time.Millisecond
 	DefaultTimeout  = 400 * time.Millisecond
-	// progressWait is how long the primary may hold back an unchanged answer.
-	progressWait = 500 * time.Millisecond
+	// IdleInterval is the time between polls of a VM that doesn't keep the group,
+	// while nothing is amiss.
+	IdleInterval = 2 * time.Second
+	// hurryFor is how long a hint of trouble makes such a VM poll like a keeper.
+	hurryFor = 5 * time.Second
+	// progressWait is how long the primary may hold back an unchanged answer, from
+	// the keeper and from other VMs.
+	progressWait     = 500 * time.Millisecond
+	idleProgressWait = 5 * time.Second
 	// progressPause bounds the rate of answers while commits stream in.
 	progressPause = 500 * time.Microsecond
 )
@@ -39,6 +46,9 @@
 	// Interval is the time between polls; Timeout bounds each call.
 	Interval time.Duration
 	Timeout  time.Duration
+	// IsKeeper reports whether this VM keeps the group. Others hear of positions
+	// from the primary's progress and from traffic, and poll seldom; nil is true.
+	IsKeeper func() bool
 	// OnView, if set, is called after each poll.
 	OnView func(view.View)
 	// Calls counts control calls.
@@ -48,6 +58,9 @@
 	group   ticket.Group
 	changed chan struct{}
 	view    atomic.Pointer[view.View]
+	// hurryUntil is in Unix nanoseconds; hurried wakes the polling.
+	hurryUntil atomic.Int64
+	hurried    chan struct{}
 
 	confirm confirmer
 }
@@ -59,6 +72,7 @@
 	watch.group = group
 	if watch.changed == nil {
 		watch.changed = make(chan struct{})
+		watch.hurried = make(chan struct{}, 1)
 		watch.confirm.requests = make(chan chan confirmation, confirmBacklog)
 	}
 	old := watch.view.Load()
@@ -112,12 +126,39 @@
 	)
 }
 
+// Hurry makes the VM poll like a keeper for a while, because something may be
+// amiss.
+func (watch *Watch) Hurry() {
+	until := watch.Clock.Now().Add(hurryFor).UnixNano()
+	if watch.hurryUntil.Swap(until) > watch.Clock.Now().UnixNano() {
+		return
+	}
+	select {
+	case watch.hurried <- struct{}{}:
+	default:
+	}
+}
+
+// isEager reports whether the VM polls at the keeper's pace.
+func (watch *Watch) isEager() bool {
+	isKeeper := watch.IsKeeper == nil || watch.IsKeeper()
+	return isKeeper || watch.Clock.Now().UnixNano() < watch.hurryUntil.Load()
+}
+
+func (watch *Watch) interval() time.Duration {
+	if watch.isEager() {
+		return watch.Interval
+	}
+	return IdleInterval
+}
+
 func (watch *Watch) runPoll(ctx context.Context) error {
 	for ctx.Err() == nil {
-		next := watch.Clock.After(watch.Interval)
+		next := watch.Clock.After(watch.interval())
 		watch.Poll(ctx)
 		select {
 		case <-next:
+		case <-watch.hurried:
 		case <-ctx.Done():
 		}
 	}
@@ -173,6 +214,7 @@
 	for ctx.Err() == nil {
 		pause := watch.Clock.After(progressPause)
 		if !watch.followProgress(ctx) {
+			watch.Hurry()
 			pause = watch.Clock.After(watch.Interval)
 		}
 		select {
@@ -198,10 +240,14 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, progressWait+watch.Timeout)
+	wait := progressWait
+	if !watch.isEager() {
+		wait = idleProgressWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watch.Timeout)
 	defer cancel()
 	watch.Calls.Add(1)
-	reports, err := watch.Control.Progress(ctx, slot.Control, current.Acked, progressWait)
+	reports, err := watch.Control.Progress(ctx, slot.Control, current.Acked, wait)
 	if err != nil {
 		return false
 	}
