Keep configuration and opinions cheap in a large fleet; run stand-ins alone

Cause: worked out for 2,500 VMs, four parts called for work by the size of the fleet: each VM read the platform's list from the store every 5 s (500 reads/s), asked its relay for news every 2 s, a keeper asked every VM for its opinion, and a VM that started without peers would have read every ticket since the first.

"standin" runs the stand-ins alone, so that VMs can run as processes of their own. A fault "stall" freezes primaries for 300 ms.

--- a/cliapp/cliapp.go
+++ b/cliapp/cliapp.go
@@ -65,6 +65,7 @@
 			demoCommand(),
 			loadCommand(),
 			replayCommand(),
+			standinCommand(),
 		},
 	}
 	setUsageErrors(root.Commands, root.OnUsageError)
--- a/cliapp/ticket.go
+++ b/cliapp/ticket.go
@@ -26,7 +26,7 @@
 			{Name: "new", Usage: "print a ticket to fill in", Flags: []cli.Flag{storeFlag}, Action: ticketNew},
 			{Name: "check", Usage: "check a ticket; with a store, against its configuration", ArgsUsage: "FILE", Flags: []cli.Flag{storeFlag}, Action: ticketCheck},
 			{Name: "submit", Usage: "have a ticket accepted", ArgsUsage: "FILE", Flags: []cli.Flag{storeFlag}, Action: ticketSubmit},
-			{Name: "list", Usage: "list accepted tickets", Flags: []cli.Flag{storeFlag}, Action: ticketList},
+			{Name: "list", Usage: "list the tickets accepted since the latest snapshot", Flags: []cli.Flag{storeFlag}, Action: ticketList},
 			{Name: "show", Usage: "print an accepted ticket", ArgsUsage: "NUMBER", Flags: []cli.Flag{storeFlag}, Action: ticketShow},
 			{Name: "diff", Usage: "print what a ticket would change", ArgsUsage: "FILE", Flags: []cli.Flag{storeFlag}, Action: ticketDiff},
 		},
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -74,20 +74,10 @@
 
 // Start starts the stand-ins, submits the first ticket and starts the VMs.
 func (cluster *Cluster) Start(ctx context.Context) error {
-	if cluster.Logger == nil {
-		cluster.Logger = logrus.New()
-		cluster.Logger.SetOutput(io.Discard)
-	}
-	cluster.Store = &fakekv.Server{}
-	if err := cluster.Store.Start("127.0.0.1:0"); err != nil {
+	if err := cluster.StartPlatform("127.0.0.1:0"); err != nil {
 		return err
 	}
-	cluster.submitter = &httpkv.Client{Base: cluster.Store.URL(), ReadRate: 1000, WriteRate: 1000}
-	cluster.Net = &links.Net{Delay: cluster.delay}
-	if err := cluster.startGroups(); err != nil {
-		return err
-	}
-	if err := cluster.Submit(ctx, cluster.firstTicket()); err != nil {
+	if err := cluster.Submit(ctx, cluster.FirstTicket()); err != nil {
 		return err
 	}
 	for index := range cluster.Deployment.VMs {
@@ -100,6 +90,22 @@
 	return cluster.list(ctx)
 }
 
+// StartPlatform starts only the stand-ins: the store at an address, and the
+// database groups.
+func (cluster *Cluster) StartPlatform(storeAddress string) error {
+	if cluster.Logger == nil {
+		cluster.Logger = logrus.New()
+		cluster.Logger.SetOutput(io.Discard)
+	}
+	cluster.Store = &fakekv.Server{}
+	if err := cluster.Store.Start(storeAddress); err != nil {
+		return err
+	}
+	cluster.submitter = &httpkv.Client{Base: cluster.Store.URL(), ReadRate: 1000, WriteRate: 1000}
+	cluster.Net = &links.Net{Delay: cluster.delay}
+	return cluster.startGroups()
+}
+
 func (cluster *Cluster) delay(from, to string) time.Duration {
 	switch {
 	case from == callerPlace || to == callerPlace:
@@ -138,9 +144,9 @@
 	lag99     = 500 * time.Millisecond
 )
 
-// firstTicket describes the whole system.
-func (cluster *Cluster) firstTicket() ticket.Ticket {
-	first := ticket.Ticket{ID: "demo-1", Note: "the whole system"}
+// FirstTicket describes the whole system.
+func (cluster *Cluster) FirstTicket() ticket.Ticket {
+	first := ticket.Ticket{Number: 1, ID: "demo-1", Note: "the whole system"}
 	for service := range cluster.Deployment.Services {
 		name := cluster.Deployment.Service + strconv.Itoa(service+1)
 		first.Upstreams = append(first.Upstreams, ticket.Upstream{Name: name})
--- a/demo/run.go
+++ b/demo/run.go
@@ -22,7 +22,7 @@
 )
 
 // Faults are the kinds of faults that a demo puts in.
-var Faults = []string{"none", "primary", "partition", "vm", "store", "all"}
+var Faults = []string{"none", "primary", "partition", "vm", "store", "stall", "all"}
 
 // Demo is one run. Set the exported fields before Run.
 type Demo struct {
@@ -152,12 +152,15 @@
 		"partition": demo.cutPrimary,
 		"vm":        demo.killVM,
 		"store":     demo.failStore,
+		"stall":     demo.stallPrimary,
 	}
 	kinds := []string{demo.Faults}
 	switch demo.Faults {
 	case "none":
 		return
 	case "all":
+		// Stalls are no failures, and would hide how few promotions there are.
+		delete(injectors, "stall")
 		kinds = slices.Sorted(maps.Keys(injectors))
 	}
 	wait(ctx, calmBefore)
@@ -219,6 +222,20 @@
 	cut(false)
 }
 
+// stallFor is how long a slow primary answers nothing.
+const stallFor = 300 * time.Millisecond
+
+// stallPrimary freezes a primary for a moment, which must not cost it its place.
+func (demo *Demo) stallPrimary(ctx context.Context) {
+	primary := demo.Cluster.Groups[demo.pickGroup()].Primary()
+	if primary == nil {
+		return
+	}
+	resume := primary.Stall()
+	wait(ctx, stallFor)
+	resume()
+}
+
 func (demo *Demo) killVM(ctx context.Context) {
 	node := demo.Cluster.VMs[demo.random.IntN(len(demo.Cluster.VMs))]
 	node.Kill()
--- a/entry/startup.go
+++ b/entry/startup.go
@@ -13,6 +13,7 @@
 
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fault"
+	"github.com/bramleydoor/bramleydoor/stmt"
 )
 
 // reported are the parameters that callers receive at the start. They are the
@@ -153,7 +154,7 @@
 }
 
 func (session *session) applyCommandLine(options string) error {
-	for _, option := range splitOptions(options) {
+	for _, option := range stmt.SplitOptions(options) {
 		name, value, ok := strings.Cut(option, "=")
 		if !ok {
 			return fault.Refuse(fault.CodeInvalidSetting, fault.ReasonBadMessage, "option "+option+" has no value")
@@ -172,49 +173,6 @@
 	return nil
 }
 
-// splitOptions returns the name=value of each -c and --; a backslash takes the
-// next character as it is.
-func splitOptions(options string) []string {
-	var words []string
-	var word strings.Builder
-	for i := 0; i < len(options); i++ {
-		switch c := options[i]; {
-		case c == '\\' && i+1 < len(options):
-			i++
-			word.WriteByte(options[i])
-		case c == ' ' || c == '\t':
-			words = appendWord(words, &word)
-		default:
-			word.WriteByte(c)
-		}
-	}
-	words = appendWord(words, &word)
-	var found []string
-	for i := 0; i < len(words); i++ {
-		switch {
-		case words[i] == "-c" && i+1 < len(words):
-			i++
-			found = append(found, words[i])
-		case strings.HasPrefix(words[i], "--"):
-			found = append(found, words[i][len("--"):])
-		case strings.HasPrefix(words[i], "-c"):
-			found = append(found, words[i][len("-c"):])
-		default:
-			found = append(found, words[i])
-		}
-	}
-	return found
-}
-
-func appendWord(words []string, word *strings.Builder) []string {
-	if word.Len() == 0 {
-		return words
-	}
-	text := word.String()
-	word.Reset()
-	return append(words, text)
-}
-
 func quoteText(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
 
 func quoteName(name string) string {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/peer"
@@ -28,8 +30,9 @@
 const (
 	// keptTickets is how many tickets a VM can pass on as differences.
 	keptTickets = 1000
-	// peerWait is how long a question to a peer may wait for news.
-	peerWait = 2 * time.Second
+	// peerWait is how long a question to a peer may wait for news. It is long,
+	// since each question costs the relay bytes; Hint ends it early.
+	peerWait = 30 * time.Second
 	// failPause is the pause after a failed call.
 	failPause = 250 * time.Millisecond
 	// PerZone is how many VMs of an availability zone watch the store.
@@ -51,6 +54,8 @@
 	// Ask asks a peer for tickets; each call may choose another peer. It fails
 	// if there is none.
 	Ask func(ctx context.Context, query peer.TicketQuery) (peer.TicketReply, string, error)
+	// IsWriter reports whether this VM writes snapshots; nil is false.
+	IsWriter func() bool
 	// OnState is called with each configuration that comes into force.
 	OnState func(ticket.State)
 
@@ -60,6 +65,22 @@
 	changed chan struct{}
 
 	isStoreDown bool
+	// stopAsking ends the question to a peer that waits now.
+	stopAsking context.CancelFunc
+}
+
+// Hint says that a peer has a configuration of a number. If that is news, the
+// question that waits elsewhere is given up.
+func (relay *Relay) Hint(number uint64) (isNews bool) {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	if number <= relay.state.Number {
+		return false
+	}
+	if relay.stopAsking != nil {
+		relay.stopAsking()
+	}
+	return true
 }
 
 // State returns the configuration in force.
@@ -71,6 +92,7 @@
 
 // Run follows the configuration until ctx ends.
 func (relay *Relay) Run(ctx context.Context) error {
+	relay.begin(ctx)
 	for ctx.Err() == nil {
 		isNews := false
 		if relay.IsRelay() && !relay.isStoreDown {
@@ -88,6 +110,38 @@
 	return ctx.Err()
 }
 
+// beginWait bounds the first question to a peer.
+const beginWait = time.Second
+
+// begin takes the configuration from a peer, so that a VM that starts doesn't
+// call the store, or from the store's snapshot if there is no peer.
+func (relay *Relay) begin(ctx context.Context) {
+	for range beginTries {
+		askCtx, cancel := context.WithTimeout(ctx, beginWait)
+		reply, from, err := relay.Ask(askCtx, peer.TicketQuery{Wait: beginWait / 2})
+		cancel()
+		if err == nil && relay.take(reply, from) {
+			return
+		}
+		select {
+		case <-relay.Clock.After(retry.Jitter(failPause)):
+		case <-ctx.Done():
+			return
+		}
+	}
+	state, err := loadSnapshot(ctx, relay.Store)
+	if err != nil {
+		relay.noteStore(err)
+		return
+	}
+	if state.Number > 0 {
+		relay.install(state)
+	}
+}
+
+// beginTries gives membership the time to find a peer.
+const beginTries = 2
+
 // fromStore waits for the next ticket in the store.
 func (relay *Relay) fromStore(ctx context.Context) bool {
 	next := relay.State().Number + 1
@@ -139,7 +193,12 @@
 	if relay.isStoreDown {
 		query.Wait = failPause
 	}
-	reply, from, err := relay.Ask(ctx, query)
+	askCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relay.mu.Lock()
+	relay.stopAsking = cancel
+	relay.mu.Unlock()
+	reply, from, err := relay.Ask(askCtx, query)
 	if err != nil {
 		select {
 		case <-relay.Clock.After(retry.Jitter(failPause)):
@@ -203,6 +262,21 @@
 	}
 	relay.Events.Write(event.ConfigApplied, event.Fields{"number": state.Number, "ticket": state.ID})
 	relay.OnState(state)
+	if state.Number%snapshotEvery == 0 && relay.IsWriter != nil && relay.IsWriter() {
+		go relay.save(state)
+	}
+}
+
+// saveTimeout bounds the writing of a snapshot, which the budget of store calls
+// spreads out.
+const saveTimeout = time.Minute
+
+func (relay *Relay) save(state ticket.State) {
+	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+	defer cancel()
+	if err := saveSnapshot(ctx, relay.Store, state); err != nil && !errors.Is(err, store.ErrConflict) {
+		relay.Stats.StoreFailures.Add(1)
+	}
 }
 
 func (relay *Relay) install(state ticket.State) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,6 +124,40 @@
 	c.Assert(state.Rules, qt.HasLen, 3)
 }
 
+// A VM without peers starts from the snapshot and the tickets after it.
+func TestSnapshot(t *testing.T) {
+	c := qt.New(t)
+	ctx, server, kv := start(c)
+	nobody := func(writes bool) *relay.Relay {
+		made := newRelay(kv, nil)
+		made.Ask = func(context.Context, peer.TicketQuery) (peer.TicketReply, string, error) {
+			return peer.TicketReply{}, "", errors.New("no peer")
+		}
+		made.IsWriter = func() bool { return writes }
+		return made
+	}
+	for number := range uint64(203) {
+		text, err := json.Marshal(rule(number+1, "t", fmt.Sprint("rule", number%7)))
+		c.Assert(err, qt.IsNil)
+		_, err = kv.Put(ctx, relay.Key(number+1), text, 0)
+		c.Assert(err, qt.IsNil)
+	}
+	runCtx, stop := context.WithCancel(ctx)
+	writer := nobody(true)
+	go func() { _ = writer.Run(runCtx) }()
+	for found, err := kv.Get(ctx, "snapshot"); found.Version == 0; found, err = kv.Get(ctx, "snapshot") {
+		c.Assert(err, qt.IsNil)
+	}
+	stop()
+	before := server.Calls.Load()
+	state, tickets, err := relay.Load(ctx, kv)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Number, qt.Equals, uint64(203))
+	c.Assert(state.Rules, qt.HasLen, 7)
+	c.Assert(tickets, qt.HasLen, 3)
+	c.Assert(server.Calls.Load()-before < 10, qt.IsTrue)
+}
+
 // A VM that is behind gets differences, or the whole state if they are too many.
 func TestAnswer(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/relay/snapshot.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/store"
+	"github.com/bramleydoor/bramleydoor/ticket"
+)
+
+// A snapshot is the configuration after a ticket, in parts that fit a value of
+// the store. It lets a VM that has no peers start without reading each ticket
+// since the first. The parts are written before the head that names them, so a
+// head always leads to whole parts.
+const (
+	snapshotKey = "snapshot"
+	// snapshotEvery is the number of tickets between snapshots.
+	snapshotEvery = 200
+	// partGroups is how many groups go into a part: a group has a few hundred
+	// bytes, at most MaxSlots slots with names of MaxNameBytes each.
+	partGroups = 150
+)
+
+type snapshotHead struct {
+	Number uint64 `json:"number"`
+	Parts  int    `json:"parts"`
+}
+
+func partKey(number uint64, part int) string {
+	return fmt.Sprintf("%s/%012d/%04d", snapshotKey, number, part)
+}
+
+// split cuts a state into parts; the first has all but the groups.
+func split(state ticket.State) []ticket.State {
+	first := state
+	first.Groups = nil
+	parts := []ticket.State{first}
+	for names := range slices.Chunk(state.GroupNames(), partGroups) {
+		part := ticket.State{Number: state.Number, Groups: make(map[string]ticket.Group)}
+		for _, name := range names {
+			part.Groups[name] = state.Groups[name]
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// saveSnapshot writes a snapshot of state, unless there is a later one.
+func saveSnapshot(ctx context.Context, kv store.Store, state ticket.State) error {
+	known, version, err := loadHead(ctx, kv)
+	if err != nil || known.Number >= state.Number {
+		return err
+	}
+	parts := split(state)
+	for i, part := range parts {
+		if err := savePart(ctx, kv, partKey(state.Number, i), part); err != nil {
+			return err
+		}
+	}
+	head, err := json.Marshal(snapshotHead{Number: state.Number, Parts: len(parts)})
+	if err != nil {
+		return err
+	}
+	_, err = kv.Put(ctx, snapshotKey, head, version)
+	return err
+}
+
+func savePart(ctx context.Context, kv store.Store, key string, part ticket.State) error {
+	text, err := json.Marshal(part)
+	if err != nil {
+		return err
+	}
+	_, err = kv.Put(ctx, key, text, 0)
+	if errors.Is(err, store.ErrConflict) {
+		// Another VM wrote the same part of the same configuration.
+		return nil
+	}
+	return err
+}
+
+func loadHead(ctx context.Context, kv store.Store) (snapshotHead, uint64, error) {
+	var head snapshotHead
+	found, err := kv.Get(ctx, snapshotKey)
+	if err != nil || found.Version == 0 {
+		return head, found.Version, err
+	}
+	err = json.Unmarshal(found.Value, &head)
+	return head, found.Version, err
+}
+
+// loadSnapshot reads the latest snapshot; without one the state is empty.
+func loadSnapshot(ctx context.Context, kv store.Store) (ticket.State, error) {
+	head, _, err := loadHead(ctx, kv)
+	if err != nil || head.Number == 0 {
+		return ticket.State{}, err
+	}
+	var state ticket.State
+	for i := range head.Parts {
+		found, err := kv.Get(ctx, partKey(head.Number, i))
+		if err != nil {
+			return ticket.State{}, err
+		}
+		var part ticket.State
+		if err := json.Unmarshal(found.Value, &part); err != nil {
+			return ticket.State{}, errors.Wrapf(err, "part %d of snapshot %d", i, head.Number)
+		}
+		if i == 0 {
+			state = part
+			state.Groups = make(map[string]ticket.Group)
+		}
+		maps.Copy(state.Groups, part.Groups)
+	}
+	return state, nil
+}
--- a/relay/submit.go
+++ b/relay/submit.go
@@ -32,9 +32,13 @@
 	return text + ", which also touches " + strings.Join(e.Overlap, ", ") + ": look at what changed, then submit with the next number"
 }
 
-// Load reads the configuration from the store.
+// Load reads the configuration from the store: the latest snapshot and the
+// tickets after it, which it returns as well.
 func Load(ctx context.Context, kv store.Store) (ticket.State, []ticket.Ticket, error) {
-	var state ticket.State
+	state, err := loadSnapshot(ctx, kv)
+	if err != nil {
+		return state, nil, err
+	}
 	var tickets []ticket.Ticket
 	for {
 		found, err := kv.Get(ctx, Key(state.Number+1))
@@ -64,12 +68,12 @@
 	if _, err := ticket.Decode(text); err != nil {
 		return err
 	}
-	state, tickets, err := Load(ctx, kv)
+	state, _, err := Load(ctx, kv)
 	if err != nil {
 		return errors.Wrap(err, "nothing was submitted")
 	}
 	if next.Number <= state.Number {
-		return compare(next, tickets[next.Number-1])
+		return settle(ctx, kv, next)
 	}
 	if _, err := state.With(next); err != nil {
 		return err
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,3 +47,18 @@
 
 // VMs returns the list.
 func (fixed Fixed) VMs(context.Context) ([]VM, error) { return fixed, nil }
+
+// When reads a list only while a condition holds, so that not every VM of a
+// large fleet reads the same.
+type When struct {
+	List List
+	Is   func() bool
+}
+
+// VMs reads the list, or returns nothing.
+func (when When) VMs(ctx context.Context) ([]VM, error) {
+	if !when.Is() {
+		return nil, nil
+	}
+	return when.List.VMs(ctx)
+}
--- a/serve/groups.go
+++ b/serve/groups.go
@@ -13,6 +13,7 @@
 	"github.com/bramleydoor/bramleydoor/holder"
 	"github.com/bramleydoor/bramleydoor/keeper"
 	"github.com/bramleydoor/bramleydoor/kernel"
+	"github.com/bramleydoor/bramleydoor/member"
 	"github.com/bramleydoor/bramleydoor/owner"
 	"github.com/bramleydoor/bramleydoor/pool"
 	"github.com/bramleydoor/bramleydoor/ticket"
@@ -113,9 +114,29 @@
 	return owner.Of(name, gossip.IDs(vm.gossip.Live())) == vm.Settings.ID
 }
 
-// opinions asks the live VMs what they think of a group's primary.
-func (vm *VM) opinions(ctx context.Context, name string) ([]detect.Opinion, int) {
+// opinionVMs is how many VMs are asked about a primary: enough that one with a
+// view of its own doesn't decide, and no more in a large fleet.
+const opinionVMs = 5
+
+// judges are the VMs whose opinions on a group count: those that rank first for
+// it, the keeper among them.
+func (vm *VM) judges(name string) []member.Member {
 	live := vm.gossip.Live()
+	byID := make(map[string]member.Member, len(live))
+	for _, m := range live {
+		byID[m.ID] = m
+	}
+	ranked := owner.Rank(name, gossip.IDs(live))
+	judges := make([]member.Member, 0, opinionVMs)
+	for _, id := range ranked[:min(opinionVMs, len(ranked))] {
+		judges = append(judges, byID[id])
+	}
+	return judges
+}
+
+// opinions asks VMs what they think of a group's primary.
+func (vm *VM) opinions(ctx context.Context, name string) ([]detect.Opinion, int) {
+	live := vm.judges(name)
 	results := make(chan *detect.Opinion, len(live))
 	for _, m := range live {
 		go func() {
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -11,6 +11,7 @@
 	"github.com/bramleydoor/bramleydoor/owner"
 	"github.com/bramleydoor/bramleydoor/peer"
 	"github.com/bramleydoor/bramleydoor/probe"
+	"github.com/bramleydoor/bramleydoor/relay"
 	"github.com/bramleydoor/bramleydoor/share"
 	"github.com/bramleydoor/bramleydoor/store"
 )
@@ -86,13 +87,40 @@
 			zone = append(zone, m.ID)
 		}
 	}
-	ranked := owner.Rank("relay/"+vm.Settings.Zone, zone)
-	if len(ranked) == 0 {
-		// The order of others differs from VM to VM, which spreads the load.
-		ranked = owner.Rank(vm.Settings.ID+time.Now().Format(time.TimeOnly), all)
+	chosen := vm.takeAhead(addresses)
+	if chosen == "" && len(zone) > 0 {
+		relays := owner.Rank("relay/"+vm.Settings.Zone, zone)
+		relays = relays[:min(relay.PerZone, len(relays))]
+		// Each VM has its own order of its zone's relays, which spreads the load.
+		chosen = owner.Of(vm.Settings.ID, relays)
+	}
+	if chosen == "" {
+		chosen = owner.Of(vm.Settings.ID+vm.Clock.Now().Format(time.TimeOnly), all)
+	}
+	reply, err := vm.peers.Tickets(ctx, addresses[chosen], query)
+	return reply, chosen, err
+}
+
+// takeAhead returns the peer that is known to have news, once.
+func (vm *VM) takeAhead(addresses map[string]string) string {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	ahead := vm.ahead
+	vm.ahead = ""
+	if addresses[ahead] == "" {
+		return ""
+	}
+	return ahead
+}
+
+// heard takes in what a peer says of itself.
+func (vm *VM) heard(message probe.Message, at time.Time) {
+	vm.shares.heard(message, at)
+	if vm.relay.Hint(message.Number) {
+		vm.mu.Lock()
+		vm.ahead = message.From
+		vm.mu.Unlock()
 	}
-	reply, err := vm.peers.Tickets(ctx, addresses[ranked[0]], query)
-	return reply, ranked[0], err
 }
 
 func (vm *VM) fillPing(ping *probe.Message) {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -69,8 +69,10 @@
 	relay  *relay.Relay
 	shares shares
 
-	mu      sync.Mutex
-	groups  map[string]*running
+	mu     sync.Mutex
+	groups map[string]*running
+	// ahead is a peer that has a later configuration.
+	ahead   string
 	ctx     context.Context
 	started chan struct{}
 }
@@ -194,11 +196,14 @@
 			Incarnation: uint64(vm.Clock.Now().UnixMilli()),
 		},
 		Probes: vm.probes,
-		Lists:  []roster.List{roster.Fixed(vm.Settings.Seeds), roster.StoreList{Store: vm.Store}},
+		Lists: []roster.List{
+			roster.Fixed(vm.Settings.Seeds),
+			roster.When{List: roster.StoreList{Store: vm.Store}, Is: vm.isRelay},
+		},
 		Clock:  vm.Clock,
 		Events: vm.events,
 		Fill:   vm.fillPing,
-		Heard:  vm.shares.heard,
+		Heard:  vm.heard,
 	}
 	vm.gossip.Init()
 	vm.relay = &relay.Relay{
@@ -208,6 +213,9 @@
 		Events:  vm.events,
 		IsRelay: vm.isRelay,
 		Ask:     vm.askTickets,
+		IsWriter: func() bool {
+			return owner.Of("snapshot", gossip.IDs(vm.gossip.Live())) == vm.Settings.ID
+		},
 		OnState: vm.applyState,
 	}
 	vm.shares.init(vm)
--- a/stmt/stmt_test.go
+++ b/stmt/stmt_test.go
@@ -63,3 +63,42 @@
 		})
 	}
 }
+
+func TestSplitOptions(t *testing.T) {
+	tests := []struct {
+		text string
+		want []string
+	}{
+		{"", nil},
+		{"-c a=1 -cb=2 --c=3", []string{"a=1", "b=2", "c=3"}},
+		{`-c a=one\ two\\three`, []string{`a=one two\three`}},
+		{"stray -c", []string{"stray", ""}},
+	}
+	for _, test := range tests {
+		qt.Check(t, stmt.SplitOptions(test.text), qt.DeepEquals, test.want, qt.Commentf("%q", test.text))
+	}
+}
+
+func FuzzSplitOptions(f *testing.F) {
+	f.Add(`-c a=1 --b=2 \`)
+	f.Fuzz(func(t *testing.T, text string) {
+		size := 0
+		for _, option := range stmt.SplitOptions(text) {
+			size += len(option)
+		}
+		if size > len(text) {
+			t.Fatalf("%q grew", text)
+		}
+	})
+}
+
+func FuzzClassify(f *testing.F) {
+	f.Add("/* x */ SELECT 1; COMMIT")
+	f.Fuzz(func(t *testing.T, text string) {
+		isEnd := stmt.Classify(text) == stmt.Commit
+		if isEnd && !stmt.MayCommit(text) {
+			t.Fatalf("%q is a commit that may not commit", text)
+		}
+		stmt.ParseCommand(text)
+	})
+}
