--- a/cliapp/serve.go
+++ b/cliapp/serve.go
@@ -64,7 +64,7 @@
 			listFlag("user", "caller as name:password; none trusts everyone"),
 			stringFlag("upstream-user", "bramleydoor", "user at the databases"),
 			stringFlag("upstream-password", "", "password at the databases"),
-			stringFlag("cert", "", "TLS certificate file for callers and peers"),
+			stringFlag("cert", "", "TLS certificate file for callers"),
 			stringFlag("cert-key", "", "TLS key file"),
 			listFlag("seed", "peer to join through, as id@address@zone"),
 			intFlag("max-callers", defaultMaxCallers, "most callers at once"),
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -48,6 +48,8 @@
 	// Lag returns the replication lag; nil is the one of the target.
 	Lag    func() time.Duration
 	Logger *logrus.Logger
+	// Tune, if set, changes the settings of each VM.
+	Tune func(settings *serve.Settings)
 	// Baseline replaces the product's policy by one that it is measured against.
 	Baseline Baseline
 
@@ -241,6 +243,9 @@
 func (node *Node) start() error {
 	cluster := node.cluster
 	settings := node.settings()
+	if cluster.Tune != nil {
+		cluster.Tune(&settings)
+	}
 	dial := cluster.Net.Dialer(settings.ID, settings.Zone)
 	if cluster.Direct {
 		dial = (&net.Dialer{}).DialContext
--- a/fakedb/faults.go
+++ b/fakedb/faults.go
@@ -4,6 +4,8 @@
 	"math"
 	"net"
 	"time"
+
+	"github.com/bramleydoor/bramleydoor/posn"
 )
 
 func logNormal(median, p99 time.Duration, z float64) time.Duration {
@@ -126,3 +128,10 @@
 		<-stalled
 	}
 }
+
+// Held is the position of the last entry in the slot's log.
+func (slot *Slot) Held() posn.Position {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	return slot.held()
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -20,7 +19,6 @@
 // Client calls other VMs by their peer address. It keeps one connection to each.
 type Client struct {
 	Key []byte
-	TLS *tls.Config
 	// Dial replaces the network in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -107,15 +105,11 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := raw
-	if client.TLS != nil {
-		conn = tls.Client(raw, client.TLS)
-	}
-	if err := shake(conn, client.Key, "client", "server"); err != nil {
+	if err := shake(raw, client.Key, "client", "server"); err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
-	return rpc.NewClient(conn), nil
+	return rpc.NewClient(raw), nil
 }
 
 func (client *Client) drop(address string, conn *rpc.Client) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,6 +1,6 @@
 // Package peer carries calls between VMs: net/rpc with its gob codec over TCP.
 // A connection begins with a challenge that only a holder of the key can
-// answer, so that no stranger joins; with TLS set, the bytes are private too.
+// answer, so that no stranger joins. The bytes after it are not secret.
 package peer
 
 import (
@@ -8,7 +8,6 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
-	"crypto/tls"
 	"io"
 	"net"
 	"net/rpc"
@@ -113,7 +112,6 @@
 type Server struct {
 	Listener net.Listener
 	Key      []byte
-	TLS      *tls.Config
 	Handler  Handler
 	// OnRefused is called for a connection without the right key.
 	OnRefused func(remote string)
@@ -168,11 +166,7 @@
 		server.mu.Unlock()
 		_ = raw.Close()
 	}()
-	conn := raw
-	if server.TLS != nil {
-		conn = tls.Server(raw, server.TLS)
-	}
-	if err := shake(conn, server.Key, "server", "client"); err != nil {
+	if err := shake(raw, server.Key, "server", "client"); err != nil {
 		if server.OnRefused != nil {
 			server.OnRefused(raw.RemoteAddr().String())
 		}
@@ -183,7 +177,7 @@
 	if err := rpcServer.RegisterName("Peer", handler); err != nil {
 		return
 	}
-	rpcServer.ServeConn(conn)
+	rpcServer.ServeConn(raw)
 }
 
 // shake proves to each side that the other knows the key. Each side answers the
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -167,7 +167,6 @@
 	vm.server = &peer.Server{
 		Listener:  peers,
 		Key:       []byte(vm.Settings.PeerKey),
-		TLS:       tlsConfig,
 		Handler:   (*handler)(vm),
 		OnRefused: vm.refusePeer,
 	}
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -32,7 +32,7 @@
 	// UpstreamUser and UpstreamPassword are for the slots.
 	UpstreamUser     string
 	UpstreamPassword string
-	// CertFile and CertKeyFile turn on TLS for callers and peers.
+	// CertFile and CertKeyFile turn on TLS for callers.
 	CertFile    string
 	CertKeyFile string
 	// Seeds are peers to join through, besides the platform's list.
