Let a planned stop finish open transactions, and bound idle and unread ones

Cause: a planned stop woke sessions that waited for their caller inside a transaction, and cut it. A caller that left a transaction open, or did not read its answer, kept a scarce connection for ever.

Change: only a session at a request boundary is woken. A transaction that waits a minute for its caller is rolled back (25P03), and a caller that takes nothing of its answer for 30 s is closed.

--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -120,6 +120,30 @@
 	workers.Wait()
 }
 
+// Rule 21: a planned stop lets an open transaction finish.
+func TestPlannedStopLeavesTransactions(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTiny(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	exec(ctx, c, conn, "BEGIN")
+	exec(ctx, c, conn, addOne, "k")
+	stopped := make(chan struct{})
+	go func() {
+		cluster.VMs[0].Stop(ctx)
+		close(stopped)
+	}()
+	until(ctx, c, "the stop has begun", func() bool {
+		_, err := pgx.Connect(ctx, "postgres://clerk@"+cluster.VMs[0].Address()+"/ledger1.db1?sslmode=disable")
+		return err != nil
+	})
+	exec(ctx, c, conn, addOne, "k")
+	exec(ctx, c, conn, "COMMIT")
+	_, err := conn.Exec(ctx, addOne, "k")
+	c.Assert(err, qt.ErrorMatches, ".*57P01.*|.*closed.*|.*EOF.*|.*reset.*|.*broken pipe.*")
+	<-stopped
+	c.Assert(readFrom(ctx, c, connect(ctx, c, cluster, 1, ""), "counter", "k"), qt.Equals, "2")
+}
+
 // work increments on one VM; only a planned stop may end its connection.
 func work(ctx context.Context, c *qt.C, cluster *demo.Cluster, vm int, stop <-chan struct{}) {
 	var conn *pgx.Conn
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -20,6 +22,10 @@
 	keepBytes = 64 << 10
 )
 
+// writeTimeout is how long a caller may take nothing of its answer. Until then
+// the upstream connection waits with it.
+const writeTimeout = 30 * time.Second
+
 // output gathers the answer to one request. Bytes after safe are held back:
 // they can still be taken back, as if nothing had been answered.
 type output struct {
@@ -59,11 +65,14 @@
 
 func (output *output) isHeldFull() bool { return len(output.buffer)-output.safe > holdBytes }
 
-func (output *output) flush(writer io.Writer) error {
+func (output *output) flush(conn net.Conn) error {
 	if output.safe == 0 {
 		return nil
 	}
-	if _, err := writer.Write(output.buffer[:output.safe]); err != nil {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := conn.Write(output.buffer[:output.safe]); err != nil {
 		return err
 	}
 	rest := copy(output.buffer, output.buffer[output.safe:])
--- a/entry/session.go
+++ b/entry/session.go
@@ -81,6 +81,8 @@
 	active     *pool.Conn
 	stopWait   context.CancelFunc
 	isStopping bool
+	// isIdle says that the session waits for its caller at a request boundary.
+	isIdle bool
 }
 
 func (session *session) run(ctx context.Context) {
@@ -93,11 +95,12 @@
 	session.backend, session.source = nil, nil
 	defer session.abandon()
 	for {
-		if session.atBoundary() && session.shouldStop() {
+		if !session.beginReceive() {
 			session.sayStopping()
 			return
 		}
 		message, err := session.reader.Receive()
+		session.endReceive()
 		if err != nil {
 			session.endInput(err)
 			return
@@ -119,14 +122,46 @@
 	return session.isStopping
 }
 
+// idleInTransaction is how long an open transaction may wait for its caller. Its
+// connection is scarce.
+const idleInTransaction = time.Minute
+
+// beginReceive prepares to wait for the caller; false if the session should
+// stop instead.
+func (session *session) beginReceive() bool {
+	if session.pinned != nil {
+		_ = session.conn.SetReadDeadline(time.Now().Add(idleInTransaction))
+		return true
+	}
+	if !session.atBoundary() {
+		return true
+	}
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	session.isIdle = !session.isStopping
+	return session.isIdle
+}
+
+func (session *session) endReceive() {
+	session.mu.Lock()
+	wasWoken := session.isIdle && session.isStopping
+	session.isIdle = false
+	session.mu.Unlock()
+	if wasWoken || session.pinned != nil {
+		_ = session.conn.SetReadDeadline(time.Time{})
+	}
+}
+
 // stop makes the session end at its next request boundary.
 func (session *session) stop() {
 	session.mu.Lock()
 	defer session.mu.Unlock()
 	session.isStopping = true
-	// A session that waits for its caller is woken by the deadline. Bytes of a
-	// request that arrive now are not read, so it is true that it did not run.
-	_ = session.conn.SetReadDeadline(time.Now())
+	if session.isIdle {
+		// A session that waits for its caller is woken by the deadline. Bytes of a
+		// request that arrive now are not read, so it is true that it did not run.
+		_ = session.conn.SetReadDeadline(time.Now())
+	}
 }
 
 func (session *session) sayStopping() {
@@ -135,11 +170,24 @@
 	_ = session.sender.Flush()
 }
 
+// sayIdle ends a session whose transaction waited too long for its caller.
+func (session *session) sayIdle() {
+	failure := fault.Refuse(codeIdle, fault.ReasonIdle, "the transaction was rolled back: nothing came for too long")
+	session.server.Stats.Refuse(failure.Reason)
+	session.sender.Send(errorResponse("FATAL", failure))
+	_ = session.sender.Flush()
+}
+
+// codeIdle is idle_in_transaction_session_timeout.
+const codeIdle = "25P03"
+
 // endInput handles the end of the caller's input.
 func (session *session) endInput(err error) {
 	var timeout net.Error
 	switch {
 	case errors.Is(err, errTerminated):
+	case errors.As(err, &timeout) && timeout.Timeout() && session.pinned != nil:
+		session.sayIdle()
 	case errors.As(err, &timeout) && timeout.Timeout() && session.shouldStop():
 		session.sayStopping()
 	case isProtocolError(err):
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -56,6 +56,7 @@
 	ReasonStaleReplica    Reason = "replicaBehind"
 	ReasonLeaving         Reason = "leaving"
 	ReasonTooManyCallers  Reason = "tooManyCallers"
+	ReasonIdle            Reason = "idleInTransaction"
 	ReasonRetryBudget     Reason = "retryBudget"
 )
 
