Test that answers are checked and that a VM hears of its own death

Cause: two mutations survived: without the check of an answer's position, and without telling a VM that it is believed dead.

Change: TestAnswerIsChecked wipes slots that the view knows to be at the floor; TestToldOfDeath. Slots of the stand-in can be wiped.

--- a/demo/failover_test.go
+++ b/demo/failover_test.go
@@ -100,3 +100,20 @@
 	c.Assert(err, qt.ErrorMatches, ".*no primary within the deadline.*|.*no connection to the database.*|.*lost before the outcome.*")
 	c.Assert(group.Primary(), qt.IsNil)
 }
+
+// Rule 4: an answer is checked against the floor, and not only the view that it
+// was routed by: a slot may have lost what it was known to have.
+func TestAnswerIsChecked(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTiny(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	exec(ctx, c, conn, addOne, "k")
+	group := cluster.Groups["ledger1.db1"]
+	for i := 1; i <= 2; i++ {
+		group.Slot(i).Cut(true)
+		group.Slot(i).Wipe()
+	}
+	for range 20 {
+		c.Assert(readFrom(ctx, c, conn, "counter", "k"), qt.Equals, "1")
+	}
+}
--- a/fakedb/faults.go
+++ b/fakedb/faults.go
@@ -135,3 +135,10 @@
 	defer slot.mu.Unlock()
 	return slot.held()
 }
+
+// Wipe empties the slot, as if its disk had been replaced.
+func (slot *Slot) Wipe() {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	slot.reset()
+}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -106,3 +106,23 @@
 		c.Assert(table.Live(), qt.HasLen, size)
 	}
 }
+
+// Whoever is not believed alive is told so, each time, until it refutes.
+func TestToldOfDeath(t *testing.T) {
+	c := qt.New(t)
+	table, dead := member.New(vm("a", 1, member.Alive)), member.New(vm("b", 1, member.Alive))
+	table.Apply(vm("b", 1, member.Dead), start)
+	table.Apply(vm("b", 1, member.Alive), start)
+	table.Apply(vm("b", 1, member.Suspect), start)
+	table.Tick(start.Add(member.SuspectFor))
+	for range 100 {
+		table.Updates("c")
+	}
+	for _, update := range table.Updates("b") {
+		dead.Apply(update, start)
+	}
+	for _, update := range dead.Updates("a") {
+		table.Apply(update, start)
+	}
+	c.Assert(table.Live(), qt.HasLen, 2)
+}
