Keep one value of each session setting, and let RESET undo it

Cause: a repeated SET of one name filled the 16 places, RESET of one name cleared all settings, and RESET by the extended protocol had no effect.

Change: settings are kept by name; RESET and DISCARD change what is kept, in both protocols and in transactions.

Figures: TestProtocol repeats a SET 20 times and fills the places with 17 names.

--- a/demo/caller_test.go
+++ b/demo/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -149,6 +150,17 @@
 	c.Assert(err, qt.ErrorMatches, ".*25006.*")
 	c.Assert(tx.Rollback(ctx), qt.IsNil)
 
+	for range 20 {
+		exec(ctx, c, conn, "SET search_path = 'y'")
+	}
+	exec(ctx, c, conn, "RESET search_path")
+	for i := range 17 {
+		_, err = conn.Exec(ctx, fmt.Sprintf("SET app.s%d = 'x'", i))
+	}
+	c.Assert(err, qt.ErrorMatches, ".*too many session settings.*0A000.*")
+	exec(ctx, c, conn, "RESET ALL")
+	exec(ctx, c, conn, "SET app.s16 = 'x'")
+	c.Assert(exec(ctx, c, conn, "DISCARD ALL"), qt.Equals, "DISCARD ALL")
 	_, err = conn.Exec(ctx, "LISTEN orders")
 	c.Assert(err, qt.ErrorMatches, ".*LISTEN.*0A000.*")
 	_, err = conn.Exec(ctx, "SET bramley.staleness = 'soon'")
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"regexp"
-	"strings"
 
 	"github.com/bramleydoor/bramleydoor/stmt"
 
@@ -174,7 +173,7 @@
 	if len(session.upstreamSettings) == 0 {
 		return nil
 	}
-	if _, err := conn.Exec(strings.Join(session.upstreamSettings, ";")); err != nil {
+	if _, err := conn.Exec(session.settingsText()); err != nil {
 		return invalidUpstream(err)
 	}
 	return nil
@@ -215,6 +214,9 @@
 			return session.failPinned(err, req)
 		}
 	}
+	if req.kind == stmt.Reset && !outcome.isError {
+		session.forgetSettings(req)
+	}
 	session.holder.Watch.Observe(conn.Slot, conn.Position)
 	if conn.Status != 'I' || !outcome.isReady {
 		return session.finishOpen(ctx, req)
--- a/entry/local.go
+++ b/entry/local.go
@@ -21,10 +21,8 @@
 		return true, fault.Refuse(fault.CodeUnsupported, fault.ReasonUnsupported,
 			"the statement needs a connection of its own, which a pooled session doesn't have: "+stmt.FirstWord(req.text))
 	case stmt.Reset, stmt.Discard:
-		if session.pinned == nil && req.isSimple {
-			if _, ok := stmt.ParseCommand(req.text); !ok {
-				return true, session.serveReset(req)
-			}
+		if _, ok := stmt.ParseCommand(req.text); !ok && session.pinned == nil {
+			return true, session.serveReset(req)
 		}
 	}
 	if req.isSimple {
@@ -79,13 +77,12 @@
 }
 
 func (session *session) serveReset(req *request) error {
-	session.upstreamSettings, session.isReadOnly = nil, false
-	session.settings, session.outer = settings{}, settings{}
-	if req.kind == stmt.Discard {
-		session.statements = make(map[string]*statement)
-		return session.answerTag("DISCARD ALL")
+	tag := session.forgetSettings(req)
+	if req.isSimple {
+		return session.answerTag(tag)
 	}
-	return session.answerTag("RESET")
+	session.answerBatch(req, tag)
+	return session.answerReady()
 }
 
 func (session *session) serveCommand(ctx context.Context, found *stmt.Command) error {
--- a/entry/session.go
+++ b/entry/session.go
@@ -68,7 +68,7 @@
 	settings settings
 	// outer are the settings that hold again when SET LOCAL ends.
 	outer            settings
-	upstreamSettings []string
+	upstreamSettings []upstreamSetting
 	isReadOnly       bool
 
 	output output
--- a/entry/setting.go
+++ b/entry/setting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -114,14 +115,67 @@
 	return "", invalid("unknown setting " + command.Name)
 }
 
-// addUpstreamSetting remembers a SET that is repeated on each connection.
+// upstreamSetting is a SET that is repeated on each connection.
+type upstreamSetting struct{ name, text string }
+
+var settingName = regexp.MustCompile(`(?is)^(?:SET|RESET)\s+(?:SESSION\s+)?("[^"]+"|[\w.]+)`)
+
+// nameOf is the name of the setting that a SET or RESET is about.
+func nameOf(text string) string {
+	match := settingName.FindStringSubmatch(stmt.SkipBlanks(text))
+	if match == nil {
+		return ""
+	}
+	return strings.ToLower(strings.Trim(match[1], `"`))
+}
+
+// addUpstreamSetting remembers a SET. A later one of the same name replaces it.
 func (session *session) addUpstreamSetting(text string) error {
+	name := nameOf(text)
+	session.dropUpstreamSetting(name)
 	if len(session.upstreamSettings) >= maxUpstreamSettings {
 		return fault.Refuse(fault.CodeUnsupported, fault.ReasonTooLarge, "too many session settings")
 	}
 	if readOnlyText.MatchString(stmt.SkipBlanks(text)) {
 		session.isReadOnly = true
 	}
-	session.upstreamSettings = append(session.upstreamSettings, strings.TrimRight(strings.TrimSpace(text), ";"))
+	text = strings.TrimRight(strings.TrimSpace(text), ";")
+	session.upstreamSettings = append(session.upstreamSettings, upstreamSetting{name: name, text: text})
 	return nil
 }
+
+func (session *session) dropUpstreamSetting(name string) {
+	session.upstreamSettings = slices.DeleteFunc(session.upstreamSettings, func(kept upstreamSetting) bool {
+		return kept.name == name
+	})
+	if name == "default_transaction_read_only" || name == "characteristics" {
+		session.isReadOnly = false
+	}
+}
+
+// forgetSettings carries out RESET and DISCARD for what the session remembers.
+// It returns the command tag.
+func (session *session) forgetSettings(req *request) string {
+	name := nameOf(req.text)
+	if req.kind == stmt.Reset && name != "all" {
+		session.dropUpstreamSetting(name)
+		return "RESET"
+	}
+	session.upstreamSettings, session.isReadOnly = nil, false
+	session.settings, session.outer = settings{}, settings{}
+	if req.kind == stmt.Reset {
+		return "RESET"
+	}
+	session.statements = make(map[string]*statement)
+	return "DISCARD ALL"
+}
+
+// settingsText is the query that repeats the session's settings.
+func (session *session) settingsText() string {
+	var query strings.Builder
+	for _, kept := range session.upstreamSettings {
+		query.WriteString(kept.text)
+		query.WriteByte(';')
+	}
+	return query.String()
+}
