Keep a former primary from answering inside a transaction

Cause: a transaction that may write was pinned to whatever primary the VM knew. On a VM that still saw a former primary, a session that had written in a later term read what was there before, before its commit failed.

Change: BEGIN waits for a primary of at least the term that the session has seen, and has the session's floor confirmed if it brought no token; answers within the transaction are checked against it.

Conclusion: read-your-writes holds in transactions too.

--- a/cliapp/replay.go
+++ b/cliapp/replay.go
@@ -25,7 +25,7 @@
 			if err != nil {
 				return &inputError{err}
 			}
-			defer file.Close()
+			defer func() { _ = file.Close() }()
 			steps, err := trace.Decode(file)
 			if err != nil {
 				return &inputError{errors.Wrapf(err, "%s", name)}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -153,9 +153,11 @@
 		name := cluster.Deployment.Service + strconv.Itoa(service+1)
 		first.Upstreams = append(first.Upstreams, ticket.Upstream{Name: name})
 	}
+	const rule = "usual"
+	first.Rules = []ticket.Rule{{Name: rule, WaitMs: int(cluster.Deployment.Wait.Milliseconds())}}
 	for i, name := range cluster.Deployment.GroupNames() {
 		upstream, _, _ := strings.Cut(name, ".")
-		described := ticket.Group{Name: name, Upstream: upstream, ConnectionLimit: cluster.Deployment.Limit}
+		described := ticket.Group{Name: name, Upstream: upstream, Rule: rule, ConnectionLimit: cluster.Deployment.Limit}
 		for s := range cluster.Deployment.Slots {
 			slot := cluster.Groups[name].Slot(s)
 			zone := cluster.Deployment.Zone(i + s)
--- a/demo/cluster_test.go
+++ b/demo/cluster_test.go
@@ -15,9 +15,13 @@
 const testTimeout = time.Minute
 
 func startTiny(c *qt.C) (context.Context, *demo.Cluster) {
+	return start(c, demo.Deployments["tiny"])
+}
+
+func start(c *qt.C, deployment demo.Deployment) (context.Context, *demo.Cluster) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	c.Cleanup(cancel)
-	cluster := &demo.Cluster{Deployment: demo.Deployments["tiny"], Seed: 1}
+	cluster := &demo.Cluster{Deployment: deployment, Seed: 1}
 	c.Assert(cluster.Start(ctx), qt.IsNil)
 	c.Cleanup(cluster.Stop)
 	c.Assert(cluster.Ready(ctx), qt.IsNil)
--- a/demo/deploy.go
+++ b/demo/deploy.go
@@ -27,6 +27,8 @@
 	// AgedShare is the part of the reads that accept data of a stated age.
 	AgedShare float64
 	Staleness time.Duration
+	// Wait bounds the wait of a request; zero is the product's default.
+	Wait time.Duration
 }
 
 // Deployments are the sizes of today, by name.
--- a/demo/failover_test.go
+++ b/demo/failover_test.go
@@ -117,3 +117,39 @@
 		c.Assert(readFrom(ctx, c, conn, "counter", "k"), qt.Equals, "1")
 	}
 }
+
+// Rules 3 and 4: a VM that still sees a former primary must not answer a session
+// that has seen a later term, or one that may have, from that primary; not in a
+// transaction either, whose answers come before its commit.
+func TestFormerPrimary(t *testing.T) {
+	c := qt.New(t)
+	impatient := demo.Deployments["tiny"]
+	impatient.Wait = time.Second
+	ctx, cluster := start(c, impatient)
+	group := cluster.Groups["ledger1.db1"]
+	conn := connect(ctx, c, cluster, 1, "")
+	exec(ctx, c, conn, addOne, "k")
+	// vm1 sees only the former primary, which all others have lost.
+	former := group.Slot(0)
+	former.Cut(true)
+	for i, node := range cluster.VMs {
+		for s := range 3 {
+			if (i == 0) != (s == 0) {
+				cluster.Net.Cut(node.VM().Settings.ID, group.Slot(s).Address(), true)
+				cluster.Net.Cut(node.VM().Settings.ID, group.Slot(s).Control(), true)
+			}
+		}
+	}
+	until(ctx, c, "a write in the next term", func() bool {
+		_, err := conn.Exec(ctx, addOne, "k")
+		return err == nil
+	})
+	token := conn.PgConn().ParameterStatus("bramley.session")
+	for _, options := range []string{"-c bramley.session=" + token, ""} {
+		behind := connect(ctx, c, cluster, 0, options)
+		_, err := behind.Exec(ctx, "BEGIN")
+		c.Check(err, qt.ErrorMatches, ".*(no primary|no majority).*", qt.Commentf("options %q", options))
+		_, err = behind.Exec(ctx, "SELECT value FROM counter WHERE key = 'k'")
+		c.Check(err, qt.IsNotNil)
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -114,15 +114,19 @@
 // leads no longer has not run it, so it waits for the next one.
 func (session *session) serveWrite(ctx context.Context, req *request) error {
 	session.lastWrite = session.server.Clock.Now()
+	floor, err := session.beginFloor(ctx, req)
+	if err != nil {
+		return err
+	}
 	for {
-		conn, err := session.holder.Write(ctx, session.who())
+		conn, err := session.holder.Write(ctx, session.who(), session.floor)
 		if err != nil {
 			return err
 		}
-		err = session.attempt(ctx, conn, req, posn.Position{})
+		err = session.attempt(ctx, conn, req, floor)
 		var lost *lostError
 		switch {
-		case errors.Is(err, errRefusedWrite):
+		case errors.Is(err, errRefusedWrite), errors.Is(err, errBehind):
 			if !session.holder.AwaitChange(ctx, fault.ReasonNoPrimary) {
 				return fault.Refuse(fault.CodeUnavailable, fault.ReasonNoPrimary, "no primary took the request within the deadline")
 			}
@@ -135,6 +139,19 @@
 	}
 }
 
+// beginFloor is the floor of a transaction that may write. Its reads are answered
+// before anything is acknowledged, so a former primary must not answer them. A
+// single statement needs none: its answer waits for the acknowledgement.
+func (session *session) beginFloor(ctx context.Context, req *request) (posn.Position, error) {
+	if req.kind != stmt.Begin {
+		return posn.Position{}, nil
+	}
+	staleness := session.settings.staleness
+	session.settings.staleness = 0
+	defer func() { session.settings.staleness = staleness }()
+	return session.readFloor(ctx)
+}
+
 // attempt runs a request on a fresh connection and answers it, or returns why
 // it didn't. The connection is given back or closed in each case.
 func (session *session) attempt(ctx context.Context, conn *pool.Conn, req *request, floor posn.Position) error {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -106,7 +106,7 @@
 // serveKeyed runs a single statement in a transaction with its key. A repeat is
 // answered with the command tag of the first run.
 func (session *session) serveKeyed(ctx context.Context, req *request) error {
-	conn, err := session.holder.Write(ctx, session.who())
+	conn, err := session.holder.Write(ctx, session.who(), session.floor)
 	if err != nil {
 		return err
 	}
@@ -244,7 +244,7 @@
 
 // settleKey inserts "aborted" unless the key is there, and reads what it is.
 func (session *session) settleKey(ctx context.Context, key string) (string, posn.Position, error) {
-	conn, err := session.holder.Write(ctx, session.who())
+	conn, err := session.holder.Write(ctx, session.who(), session.floor)
 	if err != nil {
 		return "", posn.Position{}, err
 	}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -71,14 +71,18 @@
 	holder.config.store(settings)
 }
 
-// Write returns a connection to a primary whose term is opened. Nothing has
-// been dispatched when it fails.
-func (holder *Holder) Write(ctx context.Context, session pool.Session) (*pool.Conn, error) {
+// Write returns a connection to a primary whose term is opened, and not before
+// the term of what the session has seen (rule 3). Nothing has been dispatched
+// when it fails.
+func (holder *Holder) Write(ctx context.Context, session pool.Session, seen posn.Position) (*pool.Conn, error) {
 	if holder.Settings().Leaving {
 		return nil, fault.Refuse(fault.CodeUnavailable, fault.ReasonLeaving, "the upstream is leaving")
 	}
+	if seen.Term > holder.Watch.View().Term() {
+		holder.Watch.Poll(ctx)
+	}
 	for {
-		primary, err := holder.Watch.WaitPrimary(ctx)
+		primary, err := holder.Watch.WaitPrimary(ctx, seen.Term)
 		if err != nil {
 			return nil, err
 		}
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -32,7 +32,7 @@
 		text string
 		want string
 	}{
-		{"unknown field", "{\n \"number\": 1,\n \"nmae\": 2}", `line 3: nmae: is an unknown field`},
+		{"unknown field", "{\n \"number\": 1,\n \"label\": 2}", `line 3: label: is an unknown field`},
 		{"wrong type", "{\n \"number\": \"one\"}", `line 2: number: is a string, want uint64`},
 		{"broken text", "{\n \"number\": 1,,}", `line 2: ticket: invalid character ',' looking for beginning of object key string`},
 		{"more text", `{"number":1,"id":"x","rules":[{"name":"r"}]} {}`, `line 1: ticket: has more text after its end`},
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -333,11 +333,11 @@
 	}
 }
 
-// WaitPrimary waits for a primary whose term is opened.
-func (watch *Watch) WaitPrimary(ctx context.Context) (view.Slot, error) {
+// WaitPrimary waits for a primary of at least a term, once that is opened.
+func (watch *Watch) WaitPrimary(ctx context.Context, term uint64) (view.Slot, error) {
 	for {
 		current, changed := watch.Next()
-		if primary, ok := current.Ready(); ok {
+		if primary, ok := current.Ready(); ok && primary.Sealed >= term {
 			return primary, nil
 		}
 		select {
