Refuse callers until a starting VM has its connection share

Cause: a VM that had just started took callers without a configuration (3D000) or without a connection share, and let them wait.

Change: until it has a configuration and its share, a VM answers 57P03 with the time to come back, and /health answers 503. A read whose connection was given up with a share waits for another instead of being refused. Callers of the load tool connect to another VM at once, as a balancer lets them.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -345,6 +345,9 @@
 		if len(status.Groups) != len(cluster.Groups) || len(status.Live) != len(cluster.VMs) {
 			return false
 		}
+		if !status.Ready {
+			return false
+		}
 		for _, group := range status.Groups {
 			if group.Primary == "" || group.Pool.Share == 0 {
 				return false
--- a/entry/server.go
+++ b/entry/server.go
@@ -53,6 +53,9 @@
 	Sealer *posn.Sealer
 	// Lookup finds the holder of a database by name.
 	Lookup func(database string) (*holder.Holder, bool)
+	// IsReady reports whether the VM can serve; until then callers are told to come
+	// back. Nil is true.
+	IsReady func() bool
 	// Cancel passes on a cancel request for a session of another VM.
 	Cancel func(pid uint32, secret []byte)
 	Clock  clock.Clock
--- a/entry/startup.go
+++ b/entry/startup.go
@@ -110,6 +110,11 @@
 	if err := session.authenticate(); err != nil {
 		return err
 	}
+	if session.server.IsReady != nil && !session.server.IsReady() {
+		refusal := fault.Refuse(fault.CodeUnavailable, fault.ReasonStarting, "the VM is starting")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
 	found, ok := session.server.Lookup(session.database)
 	if !ok {
 		refusal := fault.Refuse(fault.CodeNoDatabase, fault.ReasonUnknownDatabase, "no database group has the name "+session.database)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -92,7 +92,7 @@
 			return conn, nil
 		}
 		failure := fault.From(err)
-		if failure.Reason != fault.ReasonConnectFailed && failure.Reason != fault.ReasonNoShare {
+		if !isOpening(failure) {
 			return nil, err
 		}
 		holder.Stats.Retry(failure.Reason)
@@ -103,6 +103,12 @@
 	}
 }
 
+// isOpening reports whether a connection could not be opened, which says nothing
+// about the next attempt.
+func isOpening(failure *fault.Error) bool {
+	return failure.Reason == fault.ReasonConnectFailed || failure.Reason == fault.ReasonNoShare
+}
+
 // connectPause spaces the attempts while a primary refuses connections.
 const connectPause = 50 * time.Millisecond
 
@@ -154,10 +160,14 @@
 			return conn, choice, nil
 		}
 		failure := fault.From(err)
-		if failure.Reason != fault.ReasonConnectFailed || ctx.Err() != nil {
+		if !isOpening(failure) || ctx.Err() != nil {
 			return nil, choice, err
 		}
 		holder.Stats.Retry(failure.Reason)
+		if failure.Reason == fault.ReasonNoShare {
+			// The slot is as good as before; the next attempt waits in the queue.
+			continue
+		}
 		holder.Watch.Hurry()
 		read.Failed[choice.Slot] = true
 	}
--- a/load/caller.go
+++ b/load/caller.go
@@ -66,11 +66,14 @@
 	if caller.conn != nil && caller.random.Float64() < mix.Roam {
 		caller.close()
 	}
-	if caller.conn == nil {
+	for caller.conn == nil {
 		if err := caller.connect(ctx); err != nil {
+			// Like a balancer, the next attempt goes to any VM.
 			caller.run.countError(err)
 			time.Sleep(reconnectPause)
-			return
+			if ctx.Err() != nil {
+				return
+			}
 		}
 	}
 	key := strconv.Itoa(caller.random.IntN(mix.Keys))
--- a/serve/admin.go
+++ b/serve/admin.go
@@ -17,6 +17,7 @@
 type Status struct {
 	VM     string                 `json:"vm"`
 	Zone   string                 `json:"zone"`
+	Ready  bool                   `json:"ready"`
 	Number uint64                 `json:"number"`
 	Live   []string               `json:"live"`
 	Epoch  uint64                 `json:"shareEpoch"`
@@ -55,6 +56,7 @@
 	status := Status{
 		VM:         vm.Settings.ID,
 		Zone:       vm.Settings.Zone,
+		Ready:      vm.isReady(),
 		Number:     vm.relay.State().Number,
 		Live:       gossip.IDs(vm.gossip.Live()),
 		Epoch:      vm.shares.view().Epoch,
@@ -131,10 +133,10 @@
 	_ = json.NewEncoder(w).Encode(vm.Status())
 }
 
-// serveHealth answers 200 once the VM has a configuration and takes callers,
-// and 503 while it stops, so that the balancer turns away.
+// serveHealth answers 200 once the VM can serve, and 503 before that and while
+// it stops, so that the balancer turns away.
 func (vm *VM) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if vm.relay.State().Number == 0 || vm.entry.IsStopping() {
+	if !vm.isReady() || vm.entry.IsStopping() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +74,7 @@
 	groups map[string]*running
 	// ahead is a peer that has a later configuration.
 	ahead   string
+	ready   atomic.Bool
 	ctx     context.Context
 	started chan struct{}
 }
@@ -156,6 +158,7 @@
 		Users:          users,
 		Sealer:         sealer,
 		Lookup:         vm.lookup,
+		IsReady:        vm.isReady,
 		Cancel:         vm.passCancel,
 		Clock:          vm.Clock,
 		Stats:          &vm.Stats,
@@ -295,6 +298,20 @@
 	return true
 }
 
+// isReady reports whether the VM has begun to serve: it has a configuration and
+// connection shares. It stays ready when a share lapses later, since callers are
+// better served by waiting then.
+func (vm *VM) isReady() bool {
+	if vm.ready.Load() {
+		return true
+	}
+	if vm.relay.State().Number == 0 || !vm.shares.isUsable() {
+		return false
+	}
+	vm.ready.Store(true)
+	return true
+}
+
 // lookup finds a holder for the entry.
 func (vm *VM) lookup(database string) (*holder.Holder, bool) {
 	vm.mu.Lock()
--- a/serve/shares.go
+++ b/serve/shares.go
@@ -63,6 +63,14 @@
 	return state.Of(group.Name, group.ConnectionLimit, shares.vm.Clock.Now())
 }
 
+// isUsable reports whether the VM has its whole share.
+func (shares *shares) isUsable() bool {
+	shares.mu.Lock()
+	defer shares.mu.Unlock()
+	isMember := slices.Contains(shares.state.View.VMs, shares.vm.Settings.ID)
+	return isMember && shares.state.IsSettled() && shares.state.IsConfirmed(shares.vm.Clock.Now())
+}
+
 func (shares *shares) view() share.View {
 	shares.mu.Lock()
 	defer shares.mu.Unlock()
