Answer reads of a stated age without a majority, and cancels before dispatch

Cause: TestNoMajority failed on a slower run: a VM that had not heard of the last acknowledgement held back an aged read for ever, although the replica's age was proven. And a cancel that came while its request waited for a connection was answered 53300.

Change: a replica's answer to a read of a stated age waits for acknowledgement only as long as its rule's replica wait; it does not raise the session's floor. A request cancelled before dispatch is answered 57014 with notRun. The test now brings the situation about instead of by chance.

Conclusion: rule 5 holds with the primary gone.

--- a/demo/failover_test.go
+++ b/demo/failover_test.go
@@ -90,6 +90,13 @@
 		}
 		return false
 	})
+	// vm2 hears of no acknowledgement after this one.
+	cluster.Net.Cut("vm2", group.Slot(0).Control(), true)
+	cluster.Net.Cut("vm2", group.Slot(1).Control(), true)
+	exec(ctx, c, conn, addOne, "k")
+	until(ctx, c, "the last slot has the second write", func() bool {
+		return group.Slot(2).Held() == group.Slot(0).Held()
+	})
 	group.Slot(0).Kill()
 	group.Slot(1).Kill()
 	until(ctx, c, "an aged read is answered", func() bool {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/bramleydoor/bramleydoor/holder"
 	"github.com/bramleydoor/bramleydoor/pool"
 	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/route"
 )
 
 // dispatch sends a request to a slot and its answer to the caller. An error of
@@ -20,6 +21,7 @@
 func (session *session) dispatch(ctx context.Context, req *request) error {
 	ctx, cancel := context.WithTimeout(ctx, session.holder.Settings().Rule.Wait())
 	defer cancel()
+	session.takeCancel()
 	session.setWait(cancel)
 	defer session.setWait(nil)
 	session.output.open()
@@ -71,7 +73,9 @@
 		if err != nil {
 			return err
 		}
+		session.isAged = choice.Reason == route.ReplicaAged
 		err = session.attempt(ctx, conn, req, choice.Floor)
+		session.isAged = false
 		var lost *lostError
 		switch {
 		case err == nil:
@@ -314,11 +318,14 @@
 // the answer rests on is acknowledged (rule 7).
 func (session *session) finish(ctx context.Context, position posn.Position) error {
 	session.status = 'I'
-	if err := session.acknowledge(ctx, position); err != nil {
+	err := session.acknowledge(ctx, position)
+	if err != nil && !session.mayAnswerUnacked(err) {
 		session.output.takeBack()
 		return err
 	}
-	session.raiseFloor(position)
+	if err == nil {
+		session.raiseFloor(position)
+	}
 	if session.floor.Compare(session.told) > 0 {
 		session.told = session.floor
 		// The session's own answers carry its floor from here on.
@@ -335,6 +342,14 @@
 	return session.output.flush(session.conn)
 }
 
+// mayAnswerUnacked reports whether an answer may go out although what it saw is
+// not known to be acknowledged. That is so for a replica's answer to a read of a
+// stated age (rule 5): without a majority of slots nobody could tell, and such
+// reads must go on then. What was undone for good is not answered.
+func (session *session) mayAnswerUnacked(err error) bool {
+	return session.isAged && fault.From(err).Reason == fault.ReasonNotAcknowledged
+}
+
 func (session *session) acknowledge(ctx context.Context, position posn.Position) error {
 	if session.holder.Watch.IsAcked(position) {
 		return nil
@@ -344,7 +359,12 @@
 		// acknowledgement has a time of its own.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, session.holder.Settings().Rule.Wait())
+	rule := session.holder.Settings().Rule
+	wait := rule.Wait()
+	if session.isAged {
+		wait = rule.ReplicaWait()
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return session.holder.Watch.WaitAcked(ctx, position)
 }
--- a/entry/session.go
+++ b/entry/session.go
@@ -72,6 +72,8 @@
 	isReadOnly       bool
 
 	output output
+	// isAged says that a replica answers a read of a stated age.
+	isAged bool
 	// isHolding keeps the whole answer back until the commit.
 	isHolding bool
 	// writes are texts that a replica refused as writes.
@@ -81,6 +83,8 @@
 	active     *pool.Conn
 	stopWait   context.CancelFunc
 	isStopping bool
+	// isCancelled says that a cancel request ended the wait for a connection.
+	isCancelled bool
 	// isIdle says that the session waits for its caller at a request boundary.
 	isIdle bool
 }
@@ -304,6 +308,9 @@
 	if !errors.As(err, &failure) {
 		return err
 	}
+	if failure.Verdict == fault.NotRun && session.takeCancel() {
+		failure = fault.Refuse(codeCancelled, fault.ReasonCancelled, "cancelled before it ran")
+	}
 	session.server.Stats.Refuse(failure.Reason)
 	if failure.Verdict == fault.Unknown {
 		session.server.Events.Write(event.UncertainOutcome, event.Fields{"database": session.database, "reason": string(failure.Reason), "error": failure.Error()})
@@ -361,10 +368,24 @@
 func (session *session) cancel() {
 	session.mu.Lock()
 	defer session.mu.Unlock()
-	if session.stopWait != nil {
-		session.stopWait()
-	}
 	if session.active != nil {
 		session.holder.Cancel(session.active)
+		return
+	}
+	if session.stopWait != nil {
+		session.isCancelled = true
+		session.stopWait()
 	}
 }
+
+// codeCancelled is query_canceled.
+const codeCancelled = "57014"
+
+// takeCancel reports whether the request was cancelled while it waited.
+func (session *session) takeCancel() bool {
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	wasCancelled := session.isCancelled
+	session.isCancelled = false
+	return wasCancelled
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -46,6 +46,7 @@
 	ReasonUpstreamLost    Reason = "upstreamLost"
 	ReasonNotAcknowledged Reason = "notAcknowledged"
 	ReasonRolledBack      Reason = "rolledBackByFailover"
+	ReasonCancelled       Reason = "cancelled"
 	ReasonStarting        Reason = "starting"
 	ReasonStopping        Reason = "stopping"
 	ReasonUnknownDatabase Reason = "unknownDatabase"
