Test a VM that is cut off from its peers while it still reaches the databases

Cause: that shares lapse and move was proved in the model only.

Change: TestIsolatedVM, with datagrams and connections of one VM cut; slopes by slots and by idle callers.

--- a/bench/slope_test.go
+++ b/bench/slope_test.go
@@ -118,38 +118,64 @@
 
 func slopeWatch(b *testing.B, isKeeper bool) {
 	b.Helper()
-	slope(b, []int{5, 10, 20, 40}, func(size int) figures {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		counted := &counter{}
-		control := gctl.New(counted.dial)
-		watches := make([]*watch.Watch, size)
-		for i := range size {
-			group := &fakedb.Group{Slots: 3}
-			if err := group.Start(); err != nil {
-				b.Fatal(err)
-			}
-			defer group.Stop()
-			described := ticket.Group{Name: "g" + strconv.Itoa(i)}
-			for s := range 3 {
-				slot := group.Slot(s)
-				described.Slots = append(described.Slots, ticket.Slot{Name: slot.Name(), Control: slot.Control()})
-			}
-			watches[i] = &watch.Watch{Control: control, Clock: clock.System{}, Interval: watch.DefaultInterval, Timeout: watch.DefaultTimeout, IsKeeper: func() bool { return isKeeper }}
-			watches[i].SetGroup(described)
-			go func() { _ = watches[i].Run(ctx) }()
+	slope(b, []int{5, 10, 20, 40}, func(size int) figures { return watchCost(b, size, 3, isKeeper) })
+}
+
+// BenchmarkSlopeSlots: what a keeper spends on ten groups by their slots.
+func BenchmarkSlopeSlots(b *testing.B) {
+	slope(b, []int{3, 5, 7, 9}, func(size int) figures { return watchCost(b, 10, size, true) })
+}
+
+// BenchmarkSlopeSessions: memory by the number of idle callers.
+func BenchmarkSlopeSessions(b *testing.B) {
+	proxy, _ := start(b)
+	slope(b, []int{500, 1000, 2000, 4000}, func(size int) figures {
+		before := memory()
+		conns := make([]*rawCaller, size)
+		for i := range conns {
+			conns[i] = dialRaw(b, proxy)
 		}
-		time.Sleep(settle)
-		calls, bytes := sumCalls(watches), counted.bytes.Load()
-		share := cpuShare()
-		return figures{
-			"cores":   share,
-			"calls/s": float64(sumCalls(watches)-calls) / during.Seconds(),
-			"B/s":     float64(counted.bytes.Load()-bytes) / during.Seconds(),
+		used := memory() - before
+		for _, conn := range conns {
+			conn.Close()
 		}
+		return figures{"B": float64(used)}
 	})
 }
 
+// watchCost is what watching groups at rest takes.
+func watchCost(b *testing.B, size, slots int, isKeeper bool) figures {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	counted := &counter{}
+	control := gctl.New(counted.dial)
+	watches := make([]*watch.Watch, size)
+	for i := range size {
+		group := &fakedb.Group{Slots: slots}
+		if err := group.Start(); err != nil {
+			b.Fatal(err)
+		}
+		defer group.Stop()
+		described := ticket.Group{Name: "g" + strconv.Itoa(i)}
+		for s := range slots {
+			slot := group.Slot(s)
+			described.Slots = append(described.Slots, ticket.Slot{Name: slot.Name(), Control: slot.Control()})
+		}
+		watches[i] = &watch.Watch{Control: control, Clock: clock.System{}, Interval: watch.DefaultInterval, Timeout: watch.DefaultTimeout, IsKeeper: func() bool { return isKeeper }}
+		watches[i].SetGroup(described)
+		go func() { _ = watches[i].Run(ctx) }()
+	}
+	time.Sleep(settle)
+	calls, bytes := sumCalls(watches), counted.bytes.Load()
+	share := cpuShare()
+	return figures{
+		"cores":   share,
+		"calls/s": float64(sumCalls(watches)-calls) / during.Seconds(),
+		"B/s":     float64(counted.bytes.Load()-bytes) / during.Seconds(),
+	}
+}
+
 func sumCalls(watches []*watch.Watch) int64 {
 	var calls int64
 	for _, w := range watches {
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -261,6 +261,7 @@
 		Policy:   cluster.Baseline.Policy,
 		Limits:   cluster.Baseline.Limits,
 		Dial:     dial,
+		Blocked:  func(address string) bool { return cluster.Net.IsCut(settings.ID, address) },
 		Control:  gctl.New(dial),
 		Store:    &httpkv.Client{Base: settings.Store, Dial: dial},
 	}
@@ -311,6 +312,21 @@
 	node.Kill()
 }
 
+// Isolate takes the VM off from its peers and the store, but not from databases
+// and callers, or joins it again.
+func (node *Node) Isolate(isolated bool) {
+	cluster := node.cluster
+	self := node.VM().Settings.ID
+	cluster.Net.Cut(self, cluster.Store.Address(), isolated)
+	for _, other := range cluster.VMs {
+		if other == node {
+			continue
+		}
+		cluster.Net.Cut(self, other.peer, isolated)
+		cluster.Net.Cut(other.VM().Settings.ID, node.peer, isolated)
+	}
+}
+
 // Restart starts a VM that was stopped, at its old addresses.
 func (node *Node) Restart() error { return node.start() }
 
--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -212,3 +212,50 @@
 	c.Assert(err, qt.ErrorMatches, ".*upstream is leaving.*")
 	c.Assert(load.VerdictOf(err), qt.Equals, fault.NotRun)
 }
+
+// Rule 16: a VM that is cut off from its peers and the store, but not from the
+// databases, gives its connections up; the others gain them, and at no time are
+// there more than the limit. It joins again.
+func TestIsolatedVM(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTiny(c)
+	const name = "ledger1.db1"
+	stop := make(chan struct{})
+	var workers sync.WaitGroup
+	for vm := range cluster.VMs {
+		for range 8 {
+			workers.Go(func() { press(ctx, cluster.VMs[vm].Address(), stop) })
+		}
+	}
+	share := func(vm int) int { return cluster.VMs[vm].VM().Status().Groups[name].Pool.Share }
+	open := func(vm int) int { return cluster.VMs[vm].VM().Status().Groups[name].Pool.Open }
+	cluster.VMs[2].Isolate(true)
+	until(ctx, c, "the isolated VM has no connections", func() bool { return share(2) == 0 && open(2) == 0 })
+	until(ctx, c, "another VM has gained", func() bool { return share(0) > 5 && open(0) > 5 })
+	cluster.VMs[2].Isolate(false)
+	until(ctx, c, "it has its share again", func() bool { return share(2) == 5 && share(0) == 5 })
+	close(stop)
+	workers.Wait()
+	c.Assert(cluster.Groups[name].Breaches.Load(), qt.Equals, int64(0))
+}
+
+// press keeps one caller writing, whatever comes.
+func press(ctx context.Context, address string, stop <-chan struct{}) {
+	for {
+		conn, err := pgx.Connect(ctx, "postgres://clerk@"+address+"/ledger1.db1?sslmode=disable")
+		for err == nil {
+			select {
+			case <-stop:
+				_ = conn.Close(ctx)
+				return
+			default:
+			}
+			_, err = conn.Exec(ctx, "SELECT pg_sleep(0.01)")
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/fakekv/fakekv.go
+++ b/fakekv/fakekv.go
@@ -85,8 +85,11 @@
 	return nil
 }
 
+// Address is the server's IP address and port.
+func (server *Server) Address() string { return server.listener.Addr().String() }
+
 // URL is where clients reach the server.
-func (server *Server) URL() string { return "http://" + server.listener.Addr().String() }
+func (server *Server) URL() string { return "http://" + server.Address() }
 
 // Stop ends the server and its connections.
 func (server *Server) Stop() { _ = server.server.Close() }
--- a/links/links.go
+++ b/links/links.go
@@ -40,7 +40,8 @@
 	n.cuts[[2]string{from, address}] = cut
 }
 
-func (n *Net) isCut(from, address string) bool {
+// IsCut reports whether a name is cut off from an address.
+func (n *Net) IsCut(from, address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cuts[[2]string{from, address}]
@@ -58,7 +59,7 @@
 // Dialer returns a dialer for a name at a place.
 func (n *Net) Dialer(name, place string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		for n.isCut(name, address) {
+		for n.IsCut(name, address) {
 			select {
 			case <-time.After(cutPoll):
 			case <-ctx.Done():
@@ -88,7 +89,7 @@
 
 func (n *Net) wrap(raw net.Conn, name, address string, delay time.Duration) net.Conn {
 	near, far := net.Pipe()
-	blocked := func() bool { return n.isCut(name, address) }
+	blocked := func() bool { return n.IsCut(name, address) }
 	go pump(raw, far, delay, blocked)
 	go pump(far, raw, delay, blocked)
 	return &wrapped{Conn: near, raw: raw}
