--- a/pool/pool.go
+++ b/pool/pool.go
@@ -279,13 +279,21 @@
 	return pool.takeWhere(slot, func(conn *Conn) bool { return conn.isLeft })
 }
 
+// takeWhere takes the connection that fits and was used last. Dead ones that it
+// meets are closed.
 func (pool *Pool) takeWhere(slot string, fits func(*Conn) bool) *Conn {
 	idle := pool.idle[slot]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if conn := idle[i]; fits(conn) {
-			pool.idle[slot] = slices.Delete(idle, i, i+1)
+		conn := idle[i]
+		if !fits(conn) {
+			continue
+		}
+		idle = slices.Delete(idle, i, i+1)
+		pool.idle[slot] = idle
+		if conn.isAlive() {
 			return conn
 		}
+		pool.forget(conn)
 	}
 	return nil
 }
