--- a/cliapp/demo.go
+++ b/cliapp/demo.go
@@ -62,28 +62,14 @@
 		cluster.Logger = logrus.New()
 		cluster.Logger.SetOutput(root.ErrWriter)
 	}
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := cluster.Start(startCtx); err != nil {
+	if err := startCluster(ctx, cluster); err != nil {
 		return err
 	}
 	defer cluster.Stop()
-	if err := cluster.Ready(startCtx); err != nil {
-		return err
-	}
 	if command.Bool("hold") {
 		return holdDemo(ctx, root.Writer, cluster)
 	}
-	run := &demo.Demo{
-		Cluster:  cluster,
-		Duration: command.Duration("duration"),
-		Faults:   command.String("faults"),
-		Callers:  command.Int("callers"),
-		Rate:     command.Float("rate"),
-	}
-	if isTerminal(root.ErrWriter) {
-		run.Progress = root.ErrWriter
-	}
+	run := newRun(command, cluster)
 	result, err := run.Run(ctx)
 	if err != nil {
 		return err
@@ -97,6 +83,35 @@
 	return nil
 }
 
+// startCluster starts a system and waits until it is ready.
+func startCluster(ctx context.Context, cluster *demo.Cluster) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := cluster.Start(ctx); err != nil {
+		return err
+	}
+	if err := cluster.Ready(ctx); err != nil {
+		cluster.Stop()
+		return err
+	}
+	return nil
+}
+
+// newRun makes a run by the command's flags. Progress is shown on a terminal.
+func newRun(command *cli.Command, cluster *demo.Cluster) *demo.Demo {
+	run := &demo.Demo{
+		Cluster:  cluster,
+		Duration: command.Duration("duration"),
+		Faults:   command.String("faults"),
+		Callers:  command.Int("callers"),
+		Rate:     command.Float("rate"),
+	}
+	if stderr := command.Root().ErrWriter; isTerminal(stderr) {
+		run.Progress = stderr
+	}
+	return run
+}
+
 func holdDemo(ctx context.Context, writer io.Writer, cluster *demo.Cluster) error {
 	fmt.Fprintln(writer, "The system is up. Connect with any PostgreSQL client to any VM, for example:")
 	name := cluster.Deployment.GroupNames()[0]
--- a/cliapp/load.go
+++ b/cliapp/load.go
@@ -142,25 +142,11 @@
 
 func loadPolicy(ctx context.Context, command *cli.Command, deployment demo.Deployment, baseline demo.Baseline) (demo.Result, error) {
 	cluster := &demo.Cluster{Deployment: deployment, Seed: command.Uint64("seed"), Baseline: baseline}
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := cluster.Start(startCtx); err != nil {
+	if err := startCluster(ctx, cluster); err != nil {
 		return demo.Result{}, err
 	}
 	defer cluster.Stop()
-	if err := cluster.Ready(startCtx); err != nil {
-		return demo.Result{}, err
-	}
-	run := &demo.Demo{
-		Cluster:  cluster,
-		Duration: command.Duration("duration"),
-		Faults:   command.String("faults"),
-		Callers:  command.Int("callers"),
-		Rate:     command.Float("rate"),
-	}
-	if isTerminal(command.Root().ErrWriter) {
-		run.Progress = command.Root().ErrWriter
-	}
+	run := newRun(command, cluster)
 	result, err := run.Run(ctx)
 	if err != nil {
 		return result, err
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -83,7 +83,7 @@
 		case errors.Is(err, errRefusedWrite):
 			session.learnWrite(req.text)
 			session.output.takeBack()
-			session.holder.Stats.Route(routeRefused)
+			session.holder.Stats.Route(route.PrimaryRefused)
 			return session.serveWrite(ctx, req)
 		case errors.Is(err, errBehind):
 			session.holder.Stats.Retry(fault.ReasonStaleReplica)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -9,11 +9,8 @@
 	"github.com/bramleydoor/bramleydoor/fault"
 	"github.com/bramleydoor/bramleydoor/pool"
 	"github.com/bramleydoor/bramleydoor/posn"
-	"github.com/bramleydoor/bramleydoor/route"
 )
 
-const routeRefused = route.PrimaryRefused
-
 // Ends of an exchange that leave the caller unanswered.
 var (
 	// errBehind says that the slot's answer does not cover the floor.
--- a/entry/server.go
+++ b/entry/server.go
@@ -75,6 +75,9 @@
 // Run accepts callers until ctx ends, then closes them at once. Call Drain
 // first for a graceful stop.
 func (server *Server) Run(ctx context.Context) error {
+	server.mu.Lock()
+	server.sessions = make(map[uint32]*session)
+	server.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		_ = server.Listener.Close()
 		server.closeAll()
@@ -120,9 +123,6 @@
 		refusal.RetryAfter = time.Second
 		return refusal
 	}
-	if server.sessions == nil {
-		server.sessions = newSessions()
-	}
 	for {
 		session.pid, session.secret = newCancelKey()
 		if _, taken := server.sessions[session.pid]; !taken {
@@ -193,8 +193,6 @@
 	return true
 }
 
-func newSessions() map[uint32]*session { return make(map[uint32]*session) }
-
 // IsStopping reports whether a planned stop has begun.
 func (server *Server) IsStopping() bool {
 	server.mu.Lock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -227,7 +227,7 @@
 		if pool.open >= pool.Share() && pool.evict(w.slot) {
 			// The place comes free when the upstream has closed its side; the
 			// waiter then is the first in its turn.
-			pool.requeue(item)
+			pool.queue.PushFront(item)
 			return
 		}
 		pool.open++
@@ -235,9 +235,6 @@
 	}
 }
 
-// requeue puts a waiter back in front.
-func (pool *Pool) requeue(item limit.Item[*waiter]) { pool.queue.PushFront(item) }
-
 func (pool *Pool) canServe() bool {
 	if pool.open < pool.Share() {
 		return true
--- a/serve/groups.go
+++ b/serve/groups.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -20,8 +21,6 @@
 	"github.com/bramleydoor/bramleydoor/watch"
 )
 
-type keeperOf = *keeper.Keeper
-
 // applyState brings the groups that the VM holds in line with a configuration.
 func (vm *VM) applyState(state ticket.State) {
 	vm.mu.Lock()
@@ -43,17 +42,11 @@
 			vm.groups[name] = vm.startGroup(settings)
 			continue
 		}
-		found.apply(settings)
+		found.holder.Apply(settings)
 	}
 	vm.shares.poke()
 }
 
-// apply puts new settings of a group in force. Connections to slots that are no
-// longer in it are closed when their requests are done.
-func (running *running) apply(settings holder.Settings) {
-	running.holder.Apply(settings)
-}
-
 func (running *running) stop() {
 	running.holder.Pool.Stop()
 	running.cancel()
@@ -186,7 +179,7 @@
 		}
 		settings.Host, settings.Port = address.IP.String(), uint16(address.Port)
 	}
-	settings.Database = databaseOf(group.Name)
+	settings.Database = group.Name[strings.LastIndexByte(group.Name, '.')+1:]
 	settings.User, settings.Password = vm.Settings.UpstreamUser, vm.Settings.UpstreamPassword
 	settings.RuntimeParams = map[string]string{"application_name": "bramleydoor/" + vm.Settings.ID}
 	settings.Fallbacks = nil
@@ -196,16 +189,6 @@
 	return settings, nil
 }
 
-// databaseOf is the part of service.database that the upstream knows.
-func databaseOf(name string) string {
-	for i := len(name) - 1; i >= 0; i-- {
-		if name[i] == '.' {
-			return name[i+1:]
-		}
-	}
-	return name
-}
-
 // cancelTimeout bounds a cancel request to a slot.
 const cancelTimeout = 2 * time.Second
 
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -129,18 +130,10 @@
 }
 
 func openStore(address string) (store.Store, error) {
-	opener, err := store.Adapters.Lookup(schemeOf(address))
+	scheme, _, _ := strings.Cut(address, "://")
+	opener, err := store.Adapters.Lookup(scheme)
 	if err != nil {
 		return nil, err
 	}
 	return opener(address)
 }
-
-func schemeOf(address string) string {
-	for i := range address {
-		if address[i] == ':' {
-			return address[:i]
-		}
-	}
-	return address
-}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -26,6 +26,7 @@
 	"github.com/bramleydoor/bramleydoor/group"
 	"github.com/bramleydoor/bramleydoor/holder"
 	_ "github.com/bramleydoor/bramleydoor/httpkv" // registers the adapter
+	"github.com/bramleydoor/bramleydoor/keeper"
 	"github.com/bramleydoor/bramleydoor/kernel"
 	"github.com/bramleydoor/bramleydoor/member"
 	"github.com/bramleydoor/bramleydoor/owner"
@@ -82,7 +83,7 @@
 // running is a group that the VM holds.
 type running struct {
 	holder *holder.Holder
-	keeper keeperOf
+	keeper *keeper.Keeper
 	cancel context.CancelFunc
 	done   chan struct{}
 }
