Serve the users' platform on a thin path

A session engine without a wire format (engine, wires), what a VM knows of a group (dbset), connection pools (conset), the duty by a record in the store (duty), promotions (promo) and their assembly (vmrun); platform/ translates.

--- /dev/null
+++ b/duty/duty.go
@@ -0,0 +1,222 @@
+// Package duty lets one VM at a time hold a duty, by a record in the platform's
+// store. The record is a plain key that its holder rewrites; nothing depends on
+// the store's own leases, which may be taken away unseen.
+//
+// Rules (numbers as in docs/DESIGN.md):
+//
+//  9. A holder counts on its record only for TTL from the moment it sent the
+//     last rewrite that was confirmed. Another VM replaces a record that it has
+//     seen unchanged for longer than TTL. Both go by clocks that count
+//     suspensions, so two VMs never count on the duty at once.
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/store"
+)
+
+const (
+	// TTL is how long a record lasts.
+	TTL = 3 * time.Second
+	// renewEvery leaves room for two rewrites that fail.
+	renewEvery = TTL / 3
+	// margin covers clocks that run at other rates.
+	margin = 100 * time.Millisecond
+	// lookEvery is how often a VM without the duty reads the record.
+	lookEvery = 1 * time.Second
+	// Key is the record's name in the store.
+	Key = "bramley/duty/promote"
+)
+
+// record is the value of the key.
+type record struct {
+	Holder string `json:"holder"`
+	// Run tells the runs of a VM's process apart.
+	Run   uint64 `json:"run"`
+	Token uint64 `json:"token"`
+	// Beat differs in each rewrite.
+	Beat uint64 `json:"beat"`
+}
+
+// Holder takes and keeps the duty for one VM. Set the exported fields before
+// Run.
+type Holder struct {
+	Store store.Tree
+	Clock clock.Clock
+	Log   *event.Log
+	// VM is the name under which the duty is held, Run one of this process.
+	VM  string
+	Run uint64
+
+	mu     sync.Mutex
+	until  time.Time
+	token  uint64
+	seen   store.Item
+	seenAt time.Time
+	beat   uint64
+}
+
+// Holds returns the fencing token if the VM holds the duty now and for at
+// least as long as need.
+func (holder *Holder) Holds(need time.Duration) (uint64, bool) {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	if !holder.Clock.Now().Add(need).Before(holder.until) {
+		return 0, false
+	}
+	return holder.token, true
+}
+
+// Serve takes the duty when it is free, and renews it, until ctx ends; then it
+// gives it up.
+func (holder *Holder) Serve(ctx context.Context) error {
+	for {
+		wait := holder.step(ctx)
+		select {
+		case <-ctx.Done():
+			holder.release()
+			return nil
+		case <-holder.Clock.After(wait):
+		}
+	}
+}
+
+func (holder *Holder) step(ctx context.Context) time.Duration {
+	if _, ok := holder.Holds(0); ok {
+		holder.renew(ctx)
+		return renewEvery
+	}
+	holder.lost("lapsed")
+	holder.look(ctx)
+	return holder.takeIfFree(ctx)
+}
+
+func (holder *Holder) lost(reason string) {
+	holder.mu.Lock()
+	token := holder.token
+	holder.token, holder.until = 0, time.Time{}
+	holder.mu.Unlock()
+	if token != 0 {
+		holder.Log.Write(event.DutyLost, event.Fields{"token": token, "reason": reason})
+	}
+}
+
+// look reads the record; a copy that is seconds old does no harm, since it is
+// replaced only at its revision.
+func (holder *Holder) look(ctx context.Context) {
+	items, _, err := holder.Store.Range(ctx, Key, true)
+	if err != nil {
+		return
+	}
+	found := store.Item{Key: Key}
+	for _, item := range items {
+		if item.Key == Key {
+			found = item
+		}
+	}
+	if found.Revision < holder.seen.Revision {
+		return
+	}
+	holder.saw(found)
+}
+
+func (holder *Holder) saw(found store.Item) {
+	if holder.seenAt.IsZero() || found.Revision != holder.seen.Revision {
+		holder.seen, holder.seenAt = found, holder.Clock.Now()
+	}
+}
+
+// takeIfFree replaces a record that is free, and returns when to look again.
+func (holder *Holder) takeIfFree(ctx context.Context) time.Duration {
+	if holder.seenAt.IsZero() {
+		return lookEvery
+	}
+	var old record
+	if holder.seen.Revision != 0 {
+		if err := json.Unmarshal(holder.seen.Value, &old); err != nil {
+			// A record that can't be read lapses like any other.
+			old = record{Holder: "unreadable"}
+		}
+	}
+	isOurs := old.Holder == holder.VM
+	lapses := holder.seenAt.Add(TTL + margin)
+	if old.Holder != "" && !isOurs && holder.Clock.Now().Before(lapses) {
+		return min(lookEvery, lapses.Sub(holder.Clock.Now())+margin)
+	}
+	next := record{Holder: holder.VM, Run: holder.Run, Token: old.Token + 1}
+	if holder.write(ctx, next) {
+		holder.Log.Write(event.DutyTaken, event.Fields{"token": next.Token})
+		return renewEvery
+	}
+	return lookEvery / 2
+}
+
+func (holder *Holder) renew(ctx context.Context) {
+	holder.mu.Lock()
+	token := holder.token
+	holder.mu.Unlock()
+	holder.write(ctx, record{Holder: holder.VM, Run: holder.Run, Token: token})
+}
+
+// write swaps the record and counts on it from the moment before.
+func (holder *Holder) write(ctx context.Context, next record) bool {
+	holder.beat++
+	next.Beat = holder.beat
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false
+	}
+	sent := holder.Clock.Now()
+	item, err := holder.Store.Swap(ctx, Key, value, holder.seen.Revision)
+	switch {
+	case err == nil:
+		holder.saw(item)
+		holder.mu.Lock()
+		holder.token, holder.until = next.Token, sent.Add(TTL-margin)
+		holder.mu.Unlock()
+		return true
+	case errors.Is(err, store.ErrConflict):
+		holder.conflict(item)
+	}
+	return false
+}
+
+// conflict looks at the record that stood in the way. It may be the VM's own, of
+// a rewrite whose answer was lost; then the next rewrite goes on from there.
+func (holder *Holder) conflict(found store.Item) {
+	holder.saw(found)
+	var current record
+	if err := json.Unmarshal(found.Value, &current); err != nil {
+		holder.lost("unreadable")
+		return
+	}
+	if current.Holder != holder.VM || current.Run != holder.Run {
+		holder.lost("replaced by " + current.Holder)
+	}
+}
+
+// release gives the duty up so that another VM takes it at once.
+func (holder *Holder) release() {
+	token, ok := holder.Holds(0)
+	if !ok {
+		return
+	}
+	holder.lost("released")
+	ctx, cancel := context.WithTimeout(context.Background(), TTL/2)
+	defer cancel()
+	value, err := json.Marshal(record{Token: token})
+	if err != nil {
+		return
+	}
+	if _, err := holder.Store.Swap(ctx, Key, value, holder.seen.Revision); err != nil {
+		holder.Log.Write(event.StoreFailing, event.Fields{"error": err.Error()})
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -22,17 +22,24 @@
 	CallerBroke      ID = 2002
 	TokenIgnored     ID = 2003
 	UncertainOutcome ID = 2004
+	RequestRefused   ID = 2005
+	RequestRetried   ID = 2006
 	PrimarySuspected ID = 3001
 	PromotionBegun   ID = 3002
 	PromotionDone    ID = 3003
 	PromotionFailed  ID = 3004
 	PromotionUseless ID = 3005
 	SlotDropped      ID = 3006
+	DutyTaken        ID = 3007
+	DutyLost         ID = 3008
+	SlotsChanged     ID = 3009
+	ReplicaUnsealed  ID = 3010
 	ConfigApplied    ID = 4001
 	ConfigRefused    ID = 4002
 	StoreFailing     ID = 4003
 	StoreBack        ID = 4004
 	ConfigFromPeer   ID = 4005
+	EntryIgnored     ID = 4006
 	PeerSuspected    ID = 5001
 	PeerJoined       ID = 5002
 	PeerLeft         ID = 5003
@@ -62,17 +69,24 @@
 	{CallerBroke, logrus.InfoLevel, "Caller broke the protocol", "Malformed, oversized or slow input; only that caller was closed.", []string{"error", "remote"}, "0.1"},
 	{TokenIgnored, logrus.WarnLevel, "Session token ignored", "A forged, damaged or foreign token; the caller got a confirmed floor. Many of them after a key change mean that an old key was removed too early.", []string{"error", "database"}, "0.1"},
 	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"database", "reason", "error"}, "0.1"},
+	{RequestRefused, logrus.InfoLevel, "Request refused", "A request was given up. Unless the code is unknown or inDoubt, nothing of it is kept; the reason is a counter's name.", []string{"request", "database", "code", "reason"}, "0.2"},
+	{RequestRetried, logrus.InfoLevel, "Request retried", "A request that did not run, or a read, is sent again.", []string{"request", "slot", "reason", "attempt"}, "0.2"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The keeper has not heard from the primary for longer than its delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
 	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term"}, "0.1"},
 	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "tookMs"}, "0.1"},
 	{PromotionFailed, logrus.ErrorLevel, "Promotion failed", "The attempt ended without a primary; it is repeated. If it goes on, look for slots that don't answer.", []string{"group", "term", "error"}, "0.1"},
 	{PromotionUseless, logrus.ErrorLevel, "Promotion not begun", "No majority of slots answers, so a promotion would not help. Bring slots back.", []string{"group", "answering", "slots"}, "0.1"},
 	{SlotDropped, logrus.WarnLevel, "Slot dropped", "Connections to a slot that does not answer were closed.", []string{"group", "slot", "connections"}, "0.1"},
+	{DutyTaken, logrus.InfoLevel, "Duty taken", "This VM orders promotions, with a new fencing token.", []string{"token"}, "0.2"},
+	{DutyLost, logrus.WarnLevel, "Duty lost", "This VM orders no promotions any more: its record in the store lapsed or was replaced.", []string{"token", "reason"}, "0.2"},
+	{SlotsChanged, logrus.InfoLevel, "Databases changed", "The registrations of databases differ from those before.", []string{"slots", "leaving"}, "0.2"},
+	{ReplicaUnsealed, logrus.InfoLevel, "Replica unsealed", "A seal that no promotion followed was ended.", []string{"group", "slot"}, "0.2"},
 	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket is in force on this VM.", []string{"number", "ticket"}, "0.1"},
 	{ConfigRefused, logrus.ErrorLevel, "Configuration refused", "A ticket in the store can't be applied; the VM keeps the one before. Submit a ticket that mends it.", []string{"number", "error"}, "0.1"},
 	{StoreFailing, logrus.WarnLevel, "Store failing", "Calls to the platform's store fail. All goes on but the acceptance of tickets.", []string{"error"}, "0.1"},
 	{StoreBack, logrus.InfoLevel, "Store back", "Calls to the platform's store succeed again.", nil, "0.1"},
 	{ConfigFromPeer, logrus.InfoLevel, "Configuration from a peer", "Tickets came from a peer and not from the store.", []string{"peer", "number"}, "0.1"},
+	{EntryIgnored, logrus.WarnLevel, "Entry ignored", "An entry in the store can't be read; it names no database.", []string{"key", "error"}, "0.2"},
 	{PeerSuspected, logrus.WarnLevel, "Peer suspected", "A VM is silent to its peers; its duties move.", []string{"peer"}, "0.1"},
 	{PeerJoined, logrus.InfoLevel, "Peer joined", "A VM is heard.", []string{"peer"}, "0.1"},
 	{PeerLeft, logrus.InfoLevel, "Peer left", "A VM has left as planned, or the platform says it is gone.", []string{"peer"}, "0.1"},
--- /dev/null
+++ b/promo/carry.go
@@ -0,0 +1,202 @@
+package promo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/wires"
+)
+
+var (
+	errNoCandidate = errors.New("no replica was sealed")
+	errNoDuty      = errors.New("the duty was lost")
+	errNotLeading  = errors.New("the promoted database doesn't lead yet")
+)
+
+// sealed is a replica that takes nothing from lower terms any more.
+type sealed struct {
+	member dbset.Member
+	report dbset.Report
+}
+
+// promote carries a promotion out (rules 8, 9 and 18).
+func (keeper *Keeper) promote(ctx context.Context, state dbset.State, cause Cause) error {
+	began := keeper.Clock.Now()
+	term := state.Term + 1
+	keeper.Log.Write(event.PromotionBegun, event.Fields{"group": keeper.Group.Name, "term": term, "cause": string(cause)})
+	if cause == Leaving {
+		keeper.demote(state, term)
+	}
+	seals := keeper.seal(state, term)
+	sealedAt := keeper.Clock.Now()
+	best, ok := mostReceived(seals)
+	if !ok {
+		keeper.unseal(seals)
+		return errNoCandidate
+	}
+	if err := keeper.waitOut(ctx, sealedAt); err != nil {
+		keeper.unseal(seals)
+		return err
+	}
+	if err := keeper.order(ctx, best.member); err != nil {
+		keeper.unseal(seals)
+		return err
+	}
+	err := keeper.awaitLead(ctx, best.member, term)
+	keeper.unseal(seals)
+	if err != nil {
+		return err
+	}
+	keeper.demote(state, term)
+	keeper.Log.Write(event.PromotionDone, event.Fields{
+		"group": keeper.Group.Name, "term": term, "slot": best.member.ID,
+		"position": best.report.Received.String(),
+		"tookMs":   keeper.Clock.Now().Sub(began).Milliseconds(),
+	})
+	return nil
+}
+
+// demote makes the former primary a replica, if it can be reached, and lets the
+// replicas receive what it has.
+func (keeper *Keeper) demote(state dbset.State, term uint64) {
+	report, err := keeper.control(state.Primary, wires.Demote{Term: term})
+	if err != nil {
+		return
+	}
+	until := keeper.Clock.Now().Add(catchUpWait)
+	for keeper.Clock.Now().Before(until) && !keeper.hasReceived(state, report.Received) {
+		<-keeper.Clock.After(catchUpWait / 10)
+	}
+}
+
+func (keeper *Keeper) hasReceived(state dbset.State, position posn.Position) bool {
+	for _, member := range state.Members {
+		if !isCandidate(member, state.Primary) {
+			continue
+		}
+		report, err := keeper.control(member.ID, wires.Inquire{})
+		if err == nil && report.Received.AtLeast(position) {
+			return true
+		}
+	}
+	return false
+}
+
+// seal seals all replicas at once.
+func (keeper *Keeper) seal(state dbset.State, term uint64) []sealed {
+	var mu sync.Mutex
+	var seals []sealed
+	keeper.each(state, func(member dbset.MemberState) {
+		report, err := keeper.control(member.ID, wires.Seal{Term: term})
+		if err != nil || report.Primary {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		seals = append(seals, sealed{member: member.Member, report: report})
+	})
+	return seals
+}
+
+// each calls f for all members but the primary, at once.
+func (keeper *Keeper) each(state dbset.State, f func(dbset.MemberState)) {
+	var group sync.WaitGroup
+	for _, member := range state.Members {
+		if member.ID == state.Primary {
+			continue
+		}
+		group.Go(func() { f(member) })
+	}
+	group.Wait()
+}
+
+func (keeper *Keeper) unseal(seals []sealed) {
+	for _, seal := range seals {
+		if _, err := keeper.control(seal.member.ID, wires.Unseal{}); err != nil {
+			keeper.Log.Write(event.PromotionFailed, event.Fields{
+				"group": keeper.Group.Name, "slot": seal.member.ID, "error": err.Error(),
+			})
+		}
+	}
+}
+
+// unsealLeftovers ends seals that a keeper left behind when it died.
+func (keeper *Keeper) unsealLeftovers(state dbset.State) {
+	for _, member := range state.Members {
+		if member.Report.Held <= state.Term || member.Failures > 0 || state.Primary == "" {
+			continue
+		}
+		if _, err := keeper.control(member.ID, wires.Unseal{}); err == nil {
+			keeper.Log.Write(event.ReplicaUnsealed, event.Fields{"group": keeper.Group.Name, "slot": member.ID})
+		}
+	}
+}
+
+func mostReceived(seals []sealed) (sealed, bool) {
+	var best sealed
+	var found bool
+	for _, seal := range seals {
+		if seal.member.Leaving {
+			continue
+		}
+		if !found || !best.report.Received.AtLeast(seal.report.Received) {
+			best, found = seal, true
+		}
+	}
+	return best, found
+}
+
+// waitOut waits until no VM can hold a grant any more.
+func (keeper *Keeper) waitOut(ctx context.Context, sealedAt time.Time) error {
+	left := sealedAt.Add(dbset.Grant + grantMargin).Sub(keeper.Clock.Now())
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-keeper.Clock.After(left):
+		return nil
+	}
+}
+
+func (keeper *Keeper) order(ctx context.Context, member dbset.Member) error {
+	token, ok := keeper.Duty.Holds(orderWait)
+	if !ok {
+		return errNoDuty
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	return keeper.Orders.Promote(ctx, Order{
+		Group: keeper.Group.Name, Member: member.ID, Holder: keeper.Holder, Token: token,
+	})
+}
+
+// awaitLead asks the promoted database until it says that it leads.
+func (keeper *Keeper) awaitLead(ctx context.Context, member dbset.Member, term uint64) error {
+	until := keeper.Clock.Now().Add(leadWait)
+	for keeper.Clock.Now().Before(until) {
+		report, err := keeper.control(member.ID, wires.Inquire{})
+		if err == nil && report.Primary && report.Term >= term {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-keeper.Clock.After(lookEvery):
+		}
+	}
+	return errNotLeading
+}
+
+// control asks one database for something and takes its report.
+func (keeper *Keeper) control(id string, request wires.Request) (dbset.Report, error) {
+	pool := keeper.Links.Pool(id)
+	if pool == nil {
+		return dbset.Report{}, errNoCandidate
+	}
+	return Ask(keeper.Group, pool, keeper.Clock, request, askWait)
+}
--- /dev/null
+++ b/promo/promo.go
@@ -0,0 +1,123 @@
+// Package promo replaces the primary of a database group: it decides when, and
+// carries a promotion out step by step.
+//
+// Rules (numbers as in docs/DESIGN.md):
+//
+//  8. All replicas that can be reached are sealed first; the one that received
+//     the most is promoted. An acknowledged commit that any of them received is
+//     kept.
+//  9. A promotion is ordered only while the VM holds the duty, with its token.
+//  10. A slow primary is not a dead one: it has to leave several requests in a
+//     row unanswered. A promotion that has no candidate is not begun.
+//  18. A primary that leaves is replaced while it still runs: it is demoted
+//     first, so it takes no write that its successor lacks.
+package promo
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/conset"
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
+)
+
+// ErrRefused says that the platform can't promote the database.
+var ErrRefused = errors.New("platform refuses to promote the database")
+
+// Order names the database that takes over a group.
+type Order struct {
+	Group, Member string
+	// Holder and Token name the duty's holder and fence it.
+	Holder string
+	Token  uint64
+}
+
+// Orders gives orders to the platform.
+type Orders interface {
+	Promote(ctx context.Context, order Order) error
+}
+
+// Duty tells whether the VM may order promotions for as long as need.
+type Duty interface {
+	Holds(need time.Duration) (uint64, bool)
+}
+
+const (
+	// lookEvery is how often a group's state is judged.
+	lookEvery = 50 * time.Millisecond
+	// failsFor is how long a primary must have left requests unanswered.
+	failsFor = 500 * time.Millisecond
+	// leastFailures is how many in a row.
+	leastFailures = 2
+	// noneFor is how long a group must have had no primary at all.
+	noneFor = 500 * time.Millisecond
+	// askWait bounds one control request to a database.
+	askWait = 400 * time.Millisecond
+	// catchUpWait bounds the wait for replicas of a demoted primary.
+	catchUpWait = 300 * time.Millisecond
+	// grantMargin is added to the wait for grants to run out.
+	grantMargin = 50 * time.Millisecond
+	// orderWait bounds an order to the platform.
+	orderWait = 1 * time.Second
+	// leadWait bounds the wait for the promoted database to lead.
+	leadWait = 3 * time.Second
+	// pauseAfter is the pause after a promotion that failed.
+	pauseAfter = 300 * time.Millisecond
+)
+
+// Keeper watches one group. Set the exported fields before Run.
+type Keeper struct {
+	Group  *dbset.Group
+	Links  *conset.Set
+	Orders Orders
+	Duty   Duty
+	Holder string
+	Clock  clock.Clock
+	Log    *event.Log
+
+	noneSince time.Time
+}
+
+// Run replaces the group's primary whenever that is due, until ctx ends.
+func (keeper *Keeper) Run(ctx context.Context) error {
+	for {
+		wait := lookEvery
+		if _, ok := keeper.Duty.Holds(0); ok {
+			wait = keeper.step(ctx)
+		} else {
+			keeper.noneSince = time.Time{}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-keeper.Clock.After(wait):
+		}
+	}
+}
+
+func (keeper *Keeper) step(ctx context.Context) time.Duration {
+	now := keeper.Clock.Now()
+	state := keeper.Group.State()
+	if state.Primary == "" && keeper.noneSince.IsZero() {
+		keeper.noneSince = now
+	}
+	if state.Primary != "" {
+		keeper.noneSince = time.Time{}
+	}
+	cause := Due(state, keeper.noneSince, now)
+	if cause == NotDue {
+		keeper.unsealLeftovers(state)
+		return lookEvery
+	}
+	if err := keeper.promote(ctx, state, cause); err != nil {
+		keeper.Log.Write(event.PromotionFailed, event.Fields{
+			"group": keeper.Group.Name, "term": state.Term + 1, "error": err.Error(),
+		})
+		return pauseAfter
+	}
+	return lookEvery
+}
