Let the keeper grant the use of primaries by datagrams

Now the duty's holder grants in datagrams and revokes before it promotes; VMs ask databases only without a grant. Watches wait 1.8 s. Ruled out: longer intervals between polls alone, since a grant that lasts longer makes each failover as much longer.

--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -114,9 +114,13 @@
 }
 
 func (group *Group) isReplica(candidate *member, now time.Time) bool {
-	return candidate.ID != group.primary && !candidate.Leaving &&
-		!candidate.report.Primary && !candidate.reportedAt.IsZero() &&
-		!candidate.isAvoided(now)
+	if candidate.ID == group.primary || candidate.Leaving || candidate.isAvoided(now) {
+		return false
+	}
+	if candidate.reportedAt.IsZero() {
+		return !candidate.SaysPrimary
+	}
+	return !candidate.report.Primary
 }
 
 // isAvoided reports whether requests to the database fail just now. It is tried
@@ -131,10 +135,11 @@
 	if member.position.AtLeast(floor) {
 		return true
 	}
-	if member.report.Held > 0 {
-		return false
+	lag := unknownLag
+	if !member.lagAt.IsZero() {
+		lag = max(member.lag, unknownLag/2)
 	}
-	return now.Sub(floorAt) > 2*max(member.report.Lag, unknownLag)
+	return now.Sub(floorAt) > lag+lag/4+lagMargin
 }
 
 func (group *Group) cost(member *member) time.Duration {
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -2,10 +2,11 @@
 // which database answers a request. It does no I/O; time is passed in. All
 // methods may be called from many goroutines.
 //
-// A database that leads is only used under a grant. A grant is shown by a
-// replica that was asked at a time t and has not sealed a higher term: whoever
-// promotes seals the replicas first and then waits for Grant, so no promotion
-// takes effect before t + Grant.
+// A database that leads is only used under a grant. The group's keeper grants
+// for GrantFor from the moment it was asked, and promotes no other database
+// before it has revoked its grants or waited them out. Where no keeper answers, a
+// replica that was asked at a time t and has not sealed a higher term stands for
+// EvidenceFor: a keeper seals the replicas first, and waits that long.
 //
 // Rules (numbers as in docs/DESIGN.md):
 //
@@ -26,8 +27,15 @@
 )
 
 const (
-	// Grant is how long a replica's report lets a VM use the primary.
-	Grant = 600 * time.Millisecond
+	// GrantFor is how long a keeper's word lets a VM use the primary.
+	GrantFor = 2 * time.Second
+	// EvidenceFor is how long a replica's report does.
+	EvidenceFor = 600 * time.Millisecond
+	// holdFor is how long a revoked grant keeps a VM from going by replicas: an
+	// order to promote is over by then.
+	holdFor = 4 * time.Second
+	// lagMargin is added to a replica's lag where its position is a guess.
+	lagMargin = 30 * time.Millisecond
 	// ageMargin is taken off a stated age for clocks that run at other rates.
 	ageMargin = 20 * time.Millisecond
 	// maxObservations bounds the memory of a group.
@@ -39,8 +47,8 @@
 	primaryPenalty = 25 * time.Millisecond
 	// avoidFor is how long a database is avoided after a failed request.
 	avoidFor = 500 * time.Millisecond
-	// unknownLag is assumed for a replica that hasn't reported its lag.
-	unknownLag = 100 * time.Millisecond
+	// unknownLag is assumed for a replica of which no lag is known.
+	unknownLag = 60 * time.Millisecond
 )
 
 // Member is a database as the platform's registrations describe it.
@@ -76,6 +84,9 @@
 	reportedAt time.Time
 	// position is the newest seen in answers and reports.
 	position posn.Position
+	// lag is how far behind the primary the last answer was, learned at lagAt.
+	lag      time.Duration
+	lagAt    time.Time
 	latency  time.Duration
 	inFlight int
 	failures int
@@ -104,6 +115,13 @@
 	primary      string
 	termStart    posn.Position
 	grantedUntil time.Time
+	// token is the fence of the last keeper that granted or revoked.
+	token     uint64
+	revokedAt time.Time
+	// shownTerm is the last term that a replica, or a promotion, has shown to be
+	// the newest.
+	shownTerm    uint64
+	mayUseProof  bool
 	observations []observation
 	changed      chan struct{}
 }
@@ -192,6 +210,8 @@
 	case report.Term > group.term || report.Term == group.term && group.primary == "":
 		if report.Term > group.term {
 			group.grantedUntil = time.Time{}
+		}
+		if report.Term > group.term || group.termStart.IsZero() {
 			group.termStart = report.Received
 		}
 		group.term, group.primary = report.Term, id
@@ -201,21 +221,123 @@
 	}
 }
 
+// sawReplica takes a replica's report for a grant, where that is allowed.
 func (group *Group) sawReplica(report Report, began time.Time) {
-	if report.Term > group.term || report.Held > group.term {
+	if report.Term == group.term {
+		group.shownTerm = group.term
+	}
+	if report.Term > group.term && report.Held == 0 {
+		group.supersede(report.Term)
 		return
 	}
-	until := began.Add(Grant)
+	if report.Held > group.term || !group.mayUseProof {
+		return
+	}
+	if !group.revokedAt.IsZero() && began.Sub(group.revokedAt) < holdFor {
+		return
+	}
+	group.extend(began.Add(EvidenceFor), began)
+}
+
+// supersede takes note of a term whose primary is not known yet.
+func (group *Group) supersede(term uint64) {
+	group.term, group.primary = term, ""
+	group.grantedUntil, group.termStart = time.Time{}, posn.Position{}
+	group.wake()
+}
+
+// Show notes that a promotion began a term.
+func (group *Group) Show(term uint64) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.shownTerm = max(group.shownTerm, term)
+}
+
+func (group *Group) extend(until, now time.Time) {
 	if !until.After(group.grantedUntil) {
 		return
 	}
-	wasGranted := group.grantedUntil.After(began)
+	wasGranted := group.grantedUntil.After(now)
 	group.grantedUntil = until
 	if !wasGranted {
 		group.wake()
 	}
 }
 
+// AllowProof says whether replicas' reports may stand for a grant: only if
+// keepers know of this VM.
+func (group *Group) AllowProof(isAllowed bool) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.mayUseProof = isAllowed
+}
+
+// Grant is a keeper's word that a database leads.
+type Grant struct {
+	// Token is the fence of the keeper's duty.
+	Token   uint64
+	Term    uint64
+	Primary string
+	// Start covers all that was kept of earlier terms.
+	Start posn.Position
+	// Position is an observation of the primary, Age before the keeper's answer.
+	Position posn.Position
+	Age      time.Duration
+}
+
+// Accept takes a grant that was asked for at a time.
+func (group *Group) Accept(grant Grant, asked time.Time) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if grant.Token < group.token || grant.Term < group.term || !asked.After(group.revokedAt) {
+		return
+	}
+	group.token, group.revokedAt = grant.Token, time.Time{}
+	if grant.Term > group.term || group.primary != grant.Primary {
+		if grant.Term > group.term {
+			group.termStart = grant.Start
+		}
+		group.term, group.primary = grant.Term, grant.Primary
+		group.wake()
+	}
+	group.extend(asked.Add(GrantFor), asked)
+	if !grant.Position.IsZero() {
+		group.observe(grant.Position, asked.Add(-grant.Age))
+	}
+}
+
+// Offer returns the grant that the group's keeper gives, if it knows a primary.
+func (group *Group) Offer(now time.Time) (Grant, bool) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if _, ok := group.members[group.primary]; !ok || !group.isNewest() {
+		return Grant{}, false
+	}
+	grant := Grant{Term: group.term, Primary: group.primary, Start: group.termStart}
+	if last := len(group.observations) - 1; last >= 0 {
+		grant.Position = group.observations[last].position
+		grant.Age = now.Sub(group.observations[last].began)
+	}
+	return grant, true
+}
+
+// isNewest reports whether the primary's term is known to be the newest. A
+// keeper that has just started might see only a former primary.
+func (group *Group) isNewest() bool {
+	return group.shownTerm == group.term || len(group.members) == 1
+}
+
+// Revoke ends the VM's grant; false if a later keeper has granted since.
+func (group *Group) Revoke(token uint64, now time.Time) bool {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if token < group.token {
+		return false
+	}
+	group.token, group.revokedAt, group.grantedUntil = token, now, time.Time{}
+	return true
+}
+
 func (member *member) heard(now time.Time) {
 	member.failures = 0
 	member.failingSince = time.Time{}
@@ -247,6 +369,8 @@
 		from.position = posn.Max(from.position, position)
 		if id == group.primary {
 			group.observe(position, began)
+		} else {
+			from.learnLag(group.observations, now)
 		}
 	}
 }
@@ -294,6 +418,18 @@
 	group.observations = append(group.observations, observation{began: began, position: position})
 }
 
+// learnLag judges how far behind a replica is by when the primary had passed its
+// position.
+func (member *member) learnLag(observations []observation, now time.Time) {
+	member.lag, member.lagAt = 0, now
+	for _, seen := range observations {
+		if !member.position.AtLeast(seen.position) {
+			member.lag = now.Sub(seen.began)
+			return
+		}
+	}
+}
+
 // thin drops every second of the older half.
 func (group *Group) thin() {
 	half := len(group.observations) / 2
@@ -370,3 +506,58 @@
 	}
 	return state
 }
+
+// cutAfter is how long the primary must have left requests unanswered for the
+// VM to be cut off from it.
+const cutAfter = 600 * time.Millisecond
+
+// CutFrom returns the primary if this VM can't reach it, though it reaches
+// another database of the group.
+func (group *Group) CutFrom(now time.Time) (string, bool) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	leads, ok := group.members[group.primary]
+	if !ok || leads.failures < 2 || now.Sub(leads.failingSince) < cutAfter {
+		return "", false
+	}
+	for _, other := range group.members {
+		if other != leads && other.failures == 0 && now.Sub(other.heardAt) < cutAfter {
+			return leads.ID, true
+		}
+	}
+	return "", false
+}
+
+// Need says how urgently a database should be asked for its report.
+type Need int
+
+// The needs.
+const (
+	NoNeed Need = iota
+	Seldom
+	Often
+)
+
+// Needs returns the members that should be asked now. A keeper follows the
+// primary; other VMs ask only while they have no grant or a primary fails.
+func (group *Group) Needs(isKeeper bool, now time.Time) map[string]Need {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	hasGrant := group.grantedUntil.After(now.Add(GrantFor / 2))
+	needs := make(map[string]Need)
+	for id, member := range group.members {
+		isPrimary := id == group.primary
+		switch {
+		case group.primary == "" || !hasGrant && !isKeeper:
+			needs[id] = Often
+		case isPrimary && (isKeeper && now.Sub(member.heardAt) > quietPrimary || member.failures > 0):
+			needs[id] = Often
+		case isKeeper && !isPrimary:
+			needs[id] = Seldom
+		}
+	}
+	return needs
+}
+
+// quietPrimary is how long a primary may be unheard before its keeper asks it.
+const quietPrimary = 250 * time.Millisecond
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -59,6 +59,7 @@
 	mu     sync.Mutex
 	until  time.Time
 	token  uint64
+	known  string
 	seen   store.Item
 	seenAt time.Time
 	beat   uint64
@@ -75,6 +76,13 @@
 	return holder.token, true
 }
 
+// Holder returns the VM that holds the duty, as far as known.
+func (holder *Holder) Holder() string {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	return holder.known
+}
+
 // Serve takes the duty when it is free, and renews it, until ctx ends; then it
 // gives it up.
 func (holder *Holder) Serve(ctx context.Context) error {
@@ -129,9 +137,17 @@
 }
 
 func (holder *Holder) saw(found store.Item) {
-	if holder.seenAt.IsZero() || found.Revision != holder.seen.Revision {
-		holder.seen, holder.seenAt = found, holder.Clock.Now()
+	if !holder.seenAt.IsZero() && found.Revision == holder.seen.Revision {
+		return
 	}
+	holder.seen, holder.seenAt = found, holder.Clock.Now()
+	var current record
+	if len(found.Value) > 0 && json.Unmarshal(found.Value, &current) != nil {
+		return
+	}
+	holder.mu.Lock()
+	holder.known = current.Holder
+	holder.mu.Unlock()
 }
 
 // takeIfFree replaces a record that is free, and returns when to look again.
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -16,6 +16,8 @@
 // transaction is a session's open transaction. It gets its connection with its
 // first statement.
 type transaction struct {
+	// id is that of the request that opened it.
+	id       string
 	route    config.Route
 	readOnly bool
 	link     *conset.Link
@@ -59,7 +61,7 @@
 	if !ok {
 		return session.refuse(call, wires.UnknownDatabase, "noRoute")
 	}
-	session.tx = &transaction{route: route, readOnly: statement.ReadOnly}
+	session.tx = &transaction{id: call.ID, route: route, readOnly: statement.ReadOnly}
 	return wires.Answer{}
 }
 
@@ -170,7 +172,7 @@
 		link.Put()
 		return "noLongerLeads"
 	}
-	answer, err := attempt.ask(link, wires.Start{ReadOnly: tx.readOnly, Floor: choice.Floor}, restoreTimeout)
+	answer, err := attempt.ask(link, wires.Start{ID: tx.id, ReadOnly: tx.readOnly, Floor: choice.Floor}, restoreTimeout)
 	switch {
 	case err != nil:
 		link.Discard()
--- /dev/null
+++ b/grants/grants.go
@@ -0,0 +1,405 @@
+// Package grants carries keepers' grants to VMs, in datagrams: VMs ask the holder
+// of the duty, which answers with the primaries it knows, and revokes its grants
+// before it promotes.
+//
+// Rules (numbers as in docs/DESIGN.md):
+//
+//  7. A grant runs from the moment it was asked for, by the VM's clock, so its
+//     keeper, which answered later, never counts on less.
+//  9. Before a promotion every VM has confirmed the end of its grant, or the
+//     longest time that it can have one has passed. A keeper that has just taken
+//     the duty assumes that its predecessor had granted until then.
+package grants
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/posn"
+)
+
+const (
+	// askEvery leaves room for several lost datagrams within a grant.
+	askEvery = 400 * time.Millisecond
+	// askAgain is the pause before an unanswered question is repeated.
+	askAgain = 100 * time.Millisecond
+	// revokeEvery is the pause between two revocations to a VM.
+	revokeEvery = 25 * time.Millisecond
+	// margin covers clocks that run at other rates.
+	margin = 50 * time.Millisecond
+	// maxDatagram is the largest message, in bytes.
+	maxDatagram = 60 << 10
+)
+
+type kind uint8
+
+const (
+	kindAsk kind = iota + 1
+	kindGrant
+	kindRevoke
+	kindRevoked
+)
+
+// note is one group in a message.
+type note struct {
+	_        struct{} `cbor:",toarray"`
+	Group    string
+	Term     uint64
+	Primary  string
+	Start    posn.Position
+	Position posn.Position
+	AgeMS    int64
+}
+
+// message is a datagram.
+type message struct {
+	_     struct{} `cbor:",toarray"`
+	Kind  kind
+	From  string
+	Seq   uint64
+	Token uint64
+	// Notes has the granted groups, the group to revoke, or the groups whose
+	// primary the asking VM can't reach.
+	Notes []note
+}
+
+// Duty tells who orders promotions.
+type Duty interface {
+	Holds(need time.Duration) (uint64, bool)
+	// Holder is the VM that holds the duty as far as known.
+	Holder() string
+}
+
+// Agent asks for grants, and gives them while its VM holds the duty. A VM is
+// named NAME@IP. Set the exported fields before Run.
+type Agent struct {
+	Conn net.PacketConn
+	// VM is this VM, Port the one on which all VMs listen.
+	VM    string
+	Port  uint16
+	Duty  Duty
+	Clock clock.Clock
+	Log   *event.Log
+	// Groups returns all groups; Peers the VMs known.
+	Groups func() []*dbset.Group
+	Peers  func() []string
+
+	mu       sync.Mutex
+	seq      uint64
+	askedAt  time.Time
+	answered bool
+	token    uint64
+	tokenAt  time.Time
+	granted  map[string]time.Time
+	frozen   map[string]*revocation
+	views    map[string]view
+}
+
+// view is what another VM last said.
+type view struct {
+	at  time.Time
+	cut map[string]string
+}
+
+type revocation struct {
+	seq   uint64
+	acked map[string]bool
+}
+
+// Run answers and asks until ctx ends.
+func (agent *Agent) Run(ctx context.Context) error {
+	agent.mu.Lock()
+	agent.granted = make(map[string]time.Time)
+	agent.frozen = make(map[string]*revocation)
+	agent.views = make(map[string]view)
+	agent.mu.Unlock()
+	go agent.receive()
+	for {
+		agent.ask()
+		select {
+		case <-ctx.Done():
+			return agent.Conn.Close()
+		case <-agent.Clock.After(agent.pause()):
+		}
+	}
+}
+
+func (agent *Agent) pause() time.Duration {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	if agent.answered {
+		return askEvery
+	}
+	return askAgain
+}
+
+// ask sends the duty's holder a question.
+func (agent *Agent) ask() {
+	holder := agent.Duty.Holder()
+	if holder == "" {
+		return
+	}
+	var cut []note
+	for _, group := range agent.Groups() {
+		if id, ok := group.CutFrom(agent.Clock.Now()); ok {
+			cut = append(cut, note{Group: group.Name, Primary: id})
+		}
+	}
+	agent.mu.Lock()
+	agent.seq++
+	question := message{Kind: kindAsk, From: agent.VM, Seq: agent.seq, Notes: cut}
+	agent.askedAt, agent.answered = agent.Clock.Now(), false
+	agent.mu.Unlock()
+	agent.send(holder, question)
+}
+
+func (agent *Agent) send(vm string, message message) {
+	_, ip, _ := strings.Cut(vm, "@")
+	address, err := netip.ParseAddr(ip)
+	if err != nil {
+		return
+	}
+	packet, err := cbor.Marshal(message)
+	if err != nil {
+		agent.Log.Write(event.DutyEnded, event.Fields{"error": err.Error()})
+		return
+	}
+	// A datagram that can't be sent is one that was lost: it is sent again.
+	_, _ = agent.Conn.WriteTo(packet, net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, agent.Port)))
+}
+
+func (agent *Agent) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		size, _, err := agent.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var received message
+		if cbor.Unmarshal(buffer[:size], &received) == nil {
+			agent.handle(received)
+		}
+	}
+}
+
+func (agent *Agent) handle(received message) {
+	switch received.Kind {
+	case kindAsk:
+		agent.answer(received)
+	case kindGrant:
+		agent.accept(received)
+	case kindRevoke:
+		agent.revoked(received)
+	case kindRevoked:
+		agent.confirmed(received)
+	}
+}
+
+// answer grants what this VM knows, if it holds the duty.
+func (agent *Agent) answer(question message) {
+	token, ok := agent.Duty.Holds(0)
+	if !ok {
+		return
+	}
+	now := agent.Clock.Now()
+	reply := message{Kind: kindGrant, From: agent.VM, Seq: question.Seq, Token: token}
+	agent.mu.Lock()
+	agent.takeToken(token, now)
+	seen := view{at: now, cut: make(map[string]string, len(question.Notes))}
+	for _, note := range question.Notes {
+		seen.cut[note.Group] = note.Primary
+	}
+	agent.views[question.From] = seen
+	for _, group := range agent.Groups() {
+		if _, ok := agent.frozen[group.Name]; ok {
+			continue
+		}
+		grant, ok := group.Offer(now)
+		if !ok {
+			continue
+		}
+		reply.Notes = append(reply.Notes, note{
+			Group: group.Name, Term: grant.Term, Primary: grant.Primary,
+			Start: grant.Start, Position: grant.Position, AgeMS: ceilMS(grant.Age),
+		})
+	}
+	agent.granted[question.From] = now
+	agent.mu.Unlock()
+	agent.send(question.From, reply)
+}
+
+func ceilMS(age time.Duration) int64 { return age.Milliseconds() + 1 }
+
+// takeToken forgets what was granted under another token.
+func (agent *Agent) takeToken(token uint64, now time.Time) {
+	if token == agent.token {
+		return
+	}
+	agent.token, agent.tokenAt = token, now
+	clear(agent.granted)
+	clear(agent.views)
+}
+
+// accept takes the answer to the last question.
+func (agent *Agent) accept(reply message) {
+	agent.mu.Lock()
+	askedAt := agent.askedAt
+	isLast := reply.Seq == agent.seq && !agent.answered
+	if isLast {
+		agent.answered = true
+	}
+	agent.mu.Unlock()
+	if !isLast {
+		return
+	}
+	byName := make(map[string]note, len(reply.Notes))
+	for _, note := range reply.Notes {
+		byName[note.Group] = note
+	}
+	for _, group := range agent.Groups() {
+		note, ok := byName[group.Name]
+		if !ok {
+			continue
+		}
+		group.Accept(dbset.Grant{
+			Token: reply.Token, Term: note.Term, Primary: note.Primary, Start: note.Start,
+			Position: note.Position, Age: time.Duration(note.AgeMS) * time.Millisecond,
+		}, askedAt)
+	}
+}
+
+// revoked ends a grant and confirms that.
+func (agent *Agent) revoked(order message) {
+	for _, group := range agent.Groups() {
+		if len(order.Notes) != 1 || group.Name != order.Notes[0].Group {
+			continue
+		}
+		if !group.Revoke(order.Token, agent.Clock.Now()) {
+			return
+		}
+	}
+	order.Kind = kindRevoked
+	keeper := order.From
+	order.From = agent.VM
+	agent.send(keeper, order)
+}
+
+func (agent *Agent) confirmed(reply message) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	if len(reply.Notes) != 1 {
+		return
+	}
+	if revoking, ok := agent.frozen[reply.Notes[0].Group]; ok && revoking.seq == reply.Seq {
+		revoking.acked[reply.From] = true
+	}
+}
+
+// CutShare returns the share of VMs that can't reach a group's primary.
+func (agent *Agent) CutShare(group, primary string) float64 {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	now := agent.Clock.Now()
+	var heard, cut int
+	for _, seen := range agent.views {
+		if now.Sub(seen.at) > dbset.GrantFor {
+			continue
+		}
+		heard++
+		if seen.cut[group] == primary {
+			cut++
+		}
+	}
+	if heard == 0 {
+		return 0
+	}
+	return float64(cut) / float64(heard)
+}
+
+// Freeze stops granting a group and returns when no VM has a grant any more;
+// false says that some VMs have not confirmed it.
+func (agent *Agent) Freeze(ctx context.Context, group string) bool {
+	token, ok := agent.Duty.Holds(0)
+	if !ok {
+		return false
+	}
+	now := agent.Clock.Now()
+	agent.mu.Lock()
+	agent.takeToken(token, now)
+	agent.seq++
+	revoking := &revocation{seq: agent.seq, acked: make(map[string]bool)}
+	agent.frozen[group] = revoking
+	agent.mu.Unlock()
+	order := message{
+		Kind: kindRevoke, From: agent.VM, Seq: revoking.seq, Token: token,
+		Notes: []note{{Group: group}},
+	}
+	for {
+		missing, until := agent.missing(revoking)
+		if len(missing) == 0 {
+			return true
+		}
+		if !agent.Clock.Now().Before(until) {
+			return false
+		}
+		for _, vm := range missing {
+			agent.send(vm, order)
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-agent.Clock.After(revokeEvery):
+		}
+	}
+}
+
+// missing returns the VMs that have not confirmed, and when the last of their
+// grants has run out.
+func (agent *Agent) missing(revoking *revocation) ([]string, time.Time) {
+	peers := agent.Peers()
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	all := make(map[string]bool, len(peers)+len(agent.granted))
+	for _, vm := range peers {
+		all[vm] = true
+	}
+	for vm := range agent.granted {
+		all[vm] = true
+	}
+	var missing []string
+	var until time.Time
+	for vm := range all {
+		if revoking.acked[vm] {
+			continue
+		}
+		missing = append(missing, vm)
+		last := agent.tokenAt
+		if at, ok := agent.granted[vm]; ok {
+			last = at
+		}
+		if ends := last.Add(dbset.GrantFor + margin); ends.After(until) {
+			until = ends
+		}
+	}
+	return missing, until
+}
+
+// Thaw grants a group again.
+func (agent *Agent) Thaw(group string) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	delete(agent.frozen, group)
+}
--- a/promo/carry.go
+++ b/promo/carry.go
@@ -40,19 +40,20 @@
 		keeper.unseal(seals)
 		return errNoCandidate
 	}
-	if err := keeper.waitOut(ctx, sealedAt); err != nil {
-		keeper.unseal(seals)
-		return err
+	defer keeper.Grants.Thaw(keeper.Group.Name)
+	if !keeper.Grants.Freeze(ctx, keeper.Group.Name) {
+		keeper.waitOut(ctx, sealedAt)
 	}
 	if err := keeper.order(ctx, best.member); err != nil {
 		keeper.unseal(seals)
 		return err
 	}
-	err := keeper.awaitLead(ctx, best.member, term)
+	err := keeper.awaitLead(ctx, best.member, state.Term)
 	keeper.unseal(seals)
 	if err != nil {
 		return err
 	}
+	keeper.Group.Show(keeper.Group.Term())
 	keeper.demote(state, term)
 	keeper.Log.Write(event.PromotionDone, event.Fields{
 		"group": keeper.Group.Name, "term": term, "slot": best.member.ID,
@@ -152,14 +153,11 @@
 	return best, found
 }
 
-// waitOut waits until no VM can hold a grant any more.
-func (keeper *Keeper) waitOut(ctx context.Context, sealedAt time.Time) error {
-	left := sealedAt.Add(dbset.Grant + grantMargin).Sub(keeper.Clock.Now())
+// waitOut waits until no replica's report stands for a grant any more.
+func (keeper *Keeper) waitOut(ctx context.Context, sealedAt time.Time) {
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
-	case <-keeper.Clock.After(left):
-		return nil
+	case <-keeper.Clock.After(sealedAt.Add(dbset.EvidenceFor + grantMargin).Sub(keeper.Clock.Now())):
 	}
 }
 
@@ -176,11 +174,11 @@
 }
 
 // awaitLead asks the promoted database until it says that it leads.
-func (keeper *Keeper) awaitLead(ctx context.Context, member dbset.Member, term uint64) error {
+func (keeper *Keeper) awaitLead(ctx context.Context, member dbset.Member, former uint64) error {
 	until := keeper.Clock.Now().Add(leadWait)
 	for keeper.Clock.Now().Before(until) {
 		report, err := keeper.control(member.ID, wires.Inquire{})
-		if err == nil && report.Primary && report.Term >= term {
+		if err == nil && report.Primary && report.Term > former {
 			return nil
 		}
 		select {
--- a/promo/due.go
+++ b/promo/due.go
@@ -15,11 +15,18 @@
 	Silent  Cause = "primarySilent"
 	Missing Cause = "noPrimary"
 	Leaving Cause = "primaryLeaving"
+	Cut     Cause = "primaryCut"
 )
 
+// cutShare is the share of VMs that has to be cut off from a primary for it to be
+// replaced though others reach it: a promotion stops all of them for about a
+// second, a cut lasts several.
+const cutShare = 0.3
+
 // Due decides whether the group's primary has to be replaced (rules 10 and 18).
-// noneSince is when the group was first seen without one.
-func Due(state dbset.State, noneSince, now time.Time) Cause {
+// noneSince is when the group was first seen without one, cut the share of VMs
+// that can't reach it.
+func Due(state dbset.State, cut float64, noneSince, now time.Time) Cause {
 	cause := NotDue
 	switch primary, ok := find(state, state.Primary); {
 	case !ok:
@@ -30,6 +37,8 @@
 		cause = Leaving
 	case isSilent(primary, now):
 		cause = Silent
+	case cut >= cutShare:
+		cause = Cut
 	}
 	if cause != NotDue && !hasCandidate(state) {
 		return NotDue
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -46,6 +46,16 @@
 	Holds(need time.Duration) (uint64, bool)
 }
 
+// Grants ends the VMs' grants before a promotion.
+type Grants interface {
+	// Freeze returns when no VM has a grant; false says that not all have
+	// confirmed it.
+	Freeze(ctx context.Context, group string) bool
+	Thaw(group string)
+	// CutShare is the share of VMs that can't reach the group's primary.
+	CutShare(group, primary string) float64
+}
+
 const (
 	// lookEvery is how often a group's state is judged.
 	lookEvery = 50 * time.Millisecond
@@ -75,6 +85,7 @@
 	Links  *conset.Set
 	Orders Orders
 	Duty   Duty
+	Grants Grants
 	Holder string
 	Clock  clock.Clock
 	Log    *event.Log
@@ -108,7 +119,7 @@
 	if state.Primary != "" {
 		keeper.noneSince = time.Time{}
 	}
-	cause := Due(state, keeper.noneSince, now)
+	cause := Due(state, keeper.Grants.CutShare(keeper.Group.Name, state.Primary), keeper.noneSince, now)
 	if cause == NotDue {
 		keeper.unsealLeftovers(state)
 		return lookEvery
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,8 +15,13 @@
 )
 
 const (
-	// followWait is how long a watch waits; the store counts each as a call.
-	followWait = 25 * time.Second
+	// followWait is how long a watch waits. The store counts each as a call, but
+	// one that has fallen silent is found out only by its end, and a
+	// configuration has to be in force 3 s after its acceptance.
+	followWait = 1800 * time.Millisecond
+	// knownFor is how long the VM's own line must stand before replicas' reports
+	// stand for a keeper's grant: keepers have read it by then.
+	knownFor = 3 * time.Second
 	// storePause is the pause after a call of the store that failed. The
 	// configuration has to be in force within seconds of the store's return.
 	storePause = 400 * time.Millisecond
@@ -216,7 +222,28 @@
 
 type line struct {
 	revision uint64
-	seenAt   time.Time
+	// firstAt is when the VM was first seen, seenAt when its line last changed.
+	firstAt time.Time
+	seenAt  time.Time
+}
+
+// names returns the VMs known.
+func (vms *vms) names() []string {
+	vms.mu.Lock()
+	defer vms.mu.Unlock()
+	names := make([]string, 0, len(vms.lines))
+	for key := range vms.lines {
+		names = append(names, strings.TrimPrefix(key, vmPrefix))
+	}
+	return names
+}
+
+// isKnownSince reports whether a VM's line has stood since a time.
+func (vms *vms) isKnownSince(vm string, since time.Time) bool {
+	vms.mu.Lock()
+	defer vms.mu.Unlock()
+	known, ok := vms.lines[vmPrefix+vm]
+	return ok && known.firstAt.Before(since)
 }
 
 // count returns how many VMs are there as far as known.
@@ -233,7 +260,10 @@
 	for _, item := range items {
 		known, ok := vms.lines[item.Key]
 		if !ok || known.revision != item.Revision {
-			known = line{revision: item.Revision, seenAt: now}
+			if !ok {
+				known.firstAt = now
+			}
+			known.revision, known.seenAt = item.Revision, now
 		}
 		if now.Sub(known.seenAt) <= vmLapses || len(items) == 1 {
 			next[item.Key] = known
@@ -251,7 +281,7 @@
 	if err != nil {
 		return err
 	}
-	key := vmPrefix + vm.Name
+	key := vmPrefix + vm.id()
 	var own store.Item
 	var writtenAt time.Time
 	for {
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// pollEvery leaves two polls within a grant.
+	// pollEvery is how often a database is asked that is to be asked often. It
+	// leaves two polls within a replica's evidence.
 	pollEvery = 200 * time.Millisecond
+	// pollSeldom is how often the others are: a keeper has to know which
+	// replicas it could promote.
+	pollSeldom = 2500 * time.Millisecond
 	// pollWait bounds one poll.
 	pollWait = 400 * time.Millisecond
 )
@@ -51,7 +55,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	group := dbset.New(name, vm.Zone)
 	keeper := &promo.Keeper{
-		Group: group, Links: vm.links, Orders: vm.Orders, Duty: vm.duty,
+		Group: group, Links: vm.links, Orders: vm.Orders, Duty: vm.duty, Grants: vm.grants,
 		Holder: vm.Name, Clock: vm.Clock, Log: vm.Log,
 	}
 	go func() {
@@ -63,34 +67,53 @@
 	return &running{group: group, stop: stop}
 }
 
-// poll asks all databases of a group for their reports, again and again. A
-// database that is slow to answer holds up only itself.
+// poll asks the databases of a group for their reports, as far as that is needed.
+// A database that is slow to answer holds up only itself.
 func (vm *VM) poll(ctx context.Context, group *dbset.Group) {
-	asking := make(map[string]chan struct{})
+	asked := make(map[string]time.Time)
+	busy := make(map[string]chan struct{})
 	for {
-		for _, member := range group.Members() {
-			if before, ok := asking[member.ID]; ok {
-				select {
-				case <-before:
-				default:
-					continue
-				}
+		now := vm.Clock.Now()
+		_, isKeeper := vm.duty.Holds(0)
+		group.AllowProof(vm.vms.isKnownSince(vm.id(), now.Add(-knownFor)))
+		for id, need := range group.Needs(isKeeper, now) {
+			if need == dbset.NoNeed || now.Sub(asked[id]) < pause(need) || isRunning(busy[id]) {
+				continue
 			}
 			done := make(chan struct{})
-			asking[member.ID] = done
+			asked[id], busy[id] = now, done
 			go func() {
 				defer close(done)
-				vm.ask(group, member.ID)
+				vm.ask(group, id)
 			}()
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-vm.Clock.After(pollEvery):
+		case <-vm.Clock.After(pollEvery / 2):
 		}
 	}
 }
 
+func pause(need dbset.Need) time.Duration {
+	if need == dbset.Often {
+		return pollEvery
+	}
+	return pollSeldom
+}
+
+func isRunning(done chan struct{}) bool {
+	if done == nil {
+		return false
+	}
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
 func (vm *VM) ask(group *dbset.Group, id string) {
 	pool := vm.links.Pool(id)
 	if pool == nil {
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -25,6 +25,7 @@
 	"github.com/bramleydoor/bramleydoor/duty"
 	"github.com/bramleydoor/bramleydoor/engine"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/grants"
 	"github.com/bramleydoor/bramleydoor/kernel"
 	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/stats"
@@ -55,6 +56,9 @@
 	Address string
 	Zone    string
 	Grace   time.Duration
+	// Peers takes datagrams of other VMs, which all listen on PeerPort.
+	Peers    net.PacketConn
+	PeerPort uint16
 	// Listener takes callers.
 	Listener net.Listener
 	Clock    clock.Clock
@@ -65,6 +69,7 @@
 	links   *conset.Set
 	engine  *engine.Engine
 	duty    *duty.Holder
+	grants  *grants.Agent
 	members members
 	vms     vms
 
@@ -88,7 +93,11 @@
 	}
 	vm.duty = &duty.Holder{
 		Store: vm.Store, Clock: vm.Clock, Log: vm.Log,
-		VM: vm.Name + "@" + vm.Address, Run: uint64(vm.Clock.Now().UnixNano()),
+		VM: vm.id(), Run: uint64(vm.Clock.Now().UnixNano()),
+	}
+	vm.grants = &grants.Agent{
+		Conn: vm.Peers, VM: vm.id(), Port: vm.PeerPort, Duty: vm.duty, Clock: vm.Clock, Log: vm.Log,
+		Groups: vm.allGroups, Peers: vm.vms.names,
 	}
 	vm.groups = make(map[string]*running)
 	background, stopBackground := context.WithCancel(context.Background())
@@ -100,6 +109,7 @@
 			kernel.DutyFunc(vm.followMembers),
 			kernel.DutyFunc(vm.followVMs),
 			kernel.DutyFunc(vm.sweepMembers),
+			vm.grants,
 			kernel.DutyFunc(vm.accept),
 		)
 	}()
@@ -125,6 +135,19 @@
 	return nil
 }
 
+// id names the VM to other VMs; another VM may get the same name later.
+func (vm *VM) id() string { return vm.Name + "@" + vm.Address }
+
+func (vm *VM) allGroups() []*dbset.Group {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	all := make([]*dbset.Group, 0, len(vm.groups))
+	for _, found := range vm.groups {
+		all = append(all, found.group)
+	}
+	return all
+}
+
 // IsReady reports whether the VM takes callers.
 func (vm *VM) IsReady() bool {
 	vm.mu.Lock()
--- a/wires/wires.go
+++ b/wires/wires.go
@@ -143,8 +143,9 @@
 		Name, Arguments string
 		Floor           posn.Position
 	}
-	// Start opens a transaction.
+	// Start opens a transaction, with the id of its caller's request.
 	Start struct {
+		ID       string
 		ReadOnly bool
 		Floor    posn.Position
 	}
