--- a/conset/conset.go
+++ b/conset/conset.go
@@ -10,6 +10,7 @@
 import (
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,14 +28,26 @@
 	ErrOther  = errors.New("another database is at the address")
 )
 
+// IsRefused reports whether a database's machine answered that nothing listens.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 1 * time.Second
 	// fullPause is how long a pool opens nothing after the database said that
 	// it has too many connections.
-	fullPause = 300 * time.Millisecond
+	fullPause = 150 * time.Millisecond
+	// idleFor is how long a connection beyond the first is kept unused. Few open
+	// connections leave room for VMs that come back while their old connections
+	// still count.
+	idleFor = 3 * time.Second
+	// heldWeight is that of the past in the average time of use.
+	heldWeight = 16
 )
 
+// errAgain says that the way to a connection has changed.
+var errAgain = errors.New("look again")
+
 // Link is a connection with the session state that was set on it.
 type Link struct {
 	wires.Wire
@@ -43,7 +56,9 @@
 	Values map[string]string
 	Shapes map[string]wires.Shape
 
-	pool *Pool
+	pool    *Pool
+	takenAt time.Time
+	usedAt  time.Time
 }
 
 type waiter struct {
@@ -63,44 +78,68 @@
 	idle      []*Link
 	open      int
 	waiters   []*waiter
+	held      time.Duration
 	fullUntil time.Time
 	closed    bool
 }
 
 // Get returns a connection that nothing else uses. fit prefers one of the idle
-// ones: the one with the lowest result.
+// ones: the one with the lowest result. A request that would wait for longer than
+// timeout is refused at once.
 func (pool *Pool) Get(timeout time.Duration, priority int, fit func(*Link) int) (*Link, error) {
-	if link := pool.takeIdle(fit); link != nil {
-		return link, nil
+	until := pool.Clock.Now().Add(timeout)
+	for {
+		if link := pool.takeIdle(fit); link != nil {
+			return link, nil
+		}
+		left := until.Sub(pool.Clock.Now())
+		if left <= 0 {
+			return nil, ErrNoRoom
+		}
+		link, err := pool.openOrWait(left, priority)
+		if !errors.Is(err, errAgain) {
+			return link, err
+		}
 	}
+}
+
+// openOrWait opens a connection if the share allows one, or waits for one. The
+// error errAgain says that it is worth looking again.
+func (pool *Pool) openOrWait(left time.Duration, priority int) (*Link, error) {
 	pool.mu.Lock()
 	if pool.closed {
 		pool.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if pool.mayOpen() {
+	now := pool.Clock.Now()
+	isFull := now.Before(pool.fullUntil)
+	if !isFull && pool.open < max(pool.Limit(), 1) {
 		pool.open++
 		pool.mu.Unlock()
-		return pool.dial(timeout)
+		return pool.dial(left)
 	}
 	waits := &waiter{priority: priority, ready: make(chan *Link, 1)}
-	pool.enqueue(waits)
+	ahead := pool.enqueue(waits)
+	if pool.expected(ahead) > left {
+		pool.remove(waits)
+		pool.mu.Unlock()
+		return nil, ErrNoRoom
+	}
+	wait := left
+	if isFull {
+		wait = min(left, pool.fullUntil.Sub(now))
+	}
 	pool.mu.Unlock()
-	return pool.await(waits, timeout)
+	link, err := pool.await(waits, wait, left)
+	if errors.Is(err, ErrNoRoom) && wait < left {
+		return nil, errAgain
+	}
+	return link, err
 }
 
-func (pool *Pool) mayOpen() bool {
-	return pool.open < max(pool.Limit(), 1) && !pool.Clock.Now().Before(pool.fullUntil)
-}
-
-// TryIdle returns an idle connection or nil.
-func (pool *Pool) TryIdle() *Link { return pool.takeIdle(nil) }
-
-// IsUnopened reports whether the pool has no connection.
-func (pool *Pool) IsUnopened() bool {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	return pool.open == 0
+// expected is how long a request waits that has so many ahead of it.
+func (pool *Pool) expected(ahead int) time.Duration {
+	return pool.held * time.Duration(ahead) / time.Duration(max(pool.open, 1))
 }
 
 func (pool *Pool) takeIdle(fit func(*Link) int) *Link {
@@ -108,7 +147,11 @@
 		pool.mu.Lock()
 		link := pool.popIdle(fit)
 		pool.mu.Unlock()
-		if link == nil || link.IsAlive() {
+		if link == nil {
+			return nil
+		}
+		if link.IsAlive() {
+			link.takenAt = pool.Clock.Now()
 			return link
 		}
 		pool.Discard(link)
@@ -134,16 +177,28 @@
 	return link
 }
 
-func (pool *Pool) enqueue(waits *waiter) {
+// enqueue adds a waiter and returns how many are ahead of it.
+func (pool *Pool) enqueue(waits *waiter) int {
 	at := len(pool.waiters)
 	for at > 0 && pool.waiters[at-1].priority > waits.priority {
 		at--
 	}
 	pool.waiters = slices.Insert(pool.waiters, at, waits)
+	return at
+}
+
+// remove takes a waiter out; false if it has been served.
+func (pool *Pool) remove(waits *waiter) bool {
+	at := slices.Index(pool.waiters, waits)
+	if at < 0 {
+		return false
+	}
+	pool.waiters = slices.Delete(pool.waiters, at, at+1)
+	return true
 }
 
-func (pool *Pool) await(waits *waiter, timeout time.Duration) (*Link, error) {
-	timer := time.NewTimer(timeout)
+func (pool *Pool) await(waits *waiter, wait, timeout time.Duration) (*Link, error) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case link := <-waits.ready:
@@ -151,12 +206,11 @@
 	case <-timer.C:
 	}
 	pool.mu.Lock()
-	if at := slices.Index(pool.waiters, waits); at >= 0 {
-		pool.waiters = slices.Delete(pool.waiters, at, at+1)
-		pool.mu.Unlock()
+	wasWaiting := pool.remove(waits)
+	pool.mu.Unlock()
+	if wasWaiting {
 		return nil, ErrNoRoom
 	}
-	pool.mu.Unlock()
 	return pool.handed(<-waits.ready, timeout)
 }
 
@@ -179,7 +233,7 @@
 	wire, answer, err := pool.Dialer.Dial(pool.Member, min(timeout, dialTimeout))
 	if err == nil && answer.Code == wires.OK {
 		return &Link{
-			Wire: wire, Member: pool.Member, pool: pool,
+			Wire: wire, Member: pool.Member, pool: pool, takenAt: pool.Clock.Now(),
 			Values: make(map[string]string), Shapes: make(map[string]wires.Shape),
 		}, nil
 	}
@@ -188,33 +242,24 @@
 	if err == nil && answer.Code == wires.Full {
 		pool.fullUntil = pool.Clock.Now().Add(fullPause)
 	}
-	hasOthers := pool.open > 0
 	pool.mu.Unlock()
 	switch {
 	case err != nil:
 		return nil, errors.Mark(err, ErrDial)
 	case answer.Code == wires.WrongMember:
 		return nil, ErrOther
-	case answer.Code == wires.Full && hasOthers:
-		return pool.waitOnly(timeout)
+	case answer.Code == wires.Full:
+		return nil, errAgain
 	}
 	return nil, ErrNoRoom
 }
 
-func (pool *Pool) waitOnly(timeout time.Duration) (*Link, error) {
-	if link := pool.takeIdle(nil); link != nil {
-		return link, nil
-	}
-	waits := &waiter{ready: make(chan *Link, 1)}
-	pool.mu.Lock()
-	pool.enqueue(waits)
-	pool.mu.Unlock()
-	return pool.await(waits, timeout)
-}
-
 // Put gives a connection back that is outside of a transaction.
 func (pool *Pool) Put(link *Link) {
+	now := pool.Clock.Now()
 	pool.mu.Lock()
+	pool.held += (now.Sub(link.takenAt) - pool.held) / heldWeight
+	link.usedAt, link.takenAt = now, now
 	if pool.closed || pool.open > max(pool.Limit(), 1) {
 		pool.mu.Unlock()
 		pool.Discard(link)
@@ -262,6 +307,21 @@
 	}
 }
 
+// trim closes connections that have not been used since a time, but one.
+func (pool *Pool) trim(since time.Time) {
+	pool.mu.Lock()
+	var old []*Link
+	for len(pool.idle) > 0 && pool.open > 1 && pool.idle[0].usedAt.Before(since) {
+		old = append(old, pool.idle[0])
+		pool.idle = slices.Delete(pool.idle, 0, 1)
+		pool.open--
+	}
+	pool.mu.Unlock()
+	for _, link := range old {
+		link.Close()
+	}
+}
+
 // Put gives the link back to its pool.
 func (link *Link) Put() { link.pool.Put(link) }
 
@@ -309,5 +369,15 @@
 	return set.pools[id]
 }
 
+// Trim closes connections that nothing has used for a while.
+func (set *Set) Trim() {
+	since := set.Clock.Now().Add(-idleFor)
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	for _, pool := range set.pools {
+		pool.trim(since)
+	}
+}
+
 // Close closes all pools.
 func (set *Set) Close() { set.SetMembers(nil) }
--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		replicas++
-		if !hasFloor || !candidate.reaches(floor, floorAt, query.Now) {
+		if !hasFloor || !candidate.reaches(floor, floorAt, query.Now) && !candidate.isWorthTrying(query.Now) {
 			continue
 		}
 		if cost := group.cost(candidate); best == nil || cost < bestCost {
@@ -117,10 +117,8 @@
 	if candidate.ID == group.primary || candidate.Leaving || candidate.isAvoided(now) {
 		return false
 	}
-	if candidate.reportedAt.IsZero() {
-		return !candidate.SaysPrimary
-	}
-	return !candidate.report.Primary
+	// A registration is renewed at each change of role, a report only when asked.
+	return !candidate.SaysPrimary || !candidate.reportedAt.IsZero() && !candidate.report.Primary
 }
 
 // isAvoided reports whether requests to the database fail just now. It is tried
@@ -142,6 +140,16 @@
 	return now.Sub(floorAt) > lag+lag/4+lagMargin
 }
 
+// isWorthTrying reports whether the replica's lag was learned so long ago that one
+// read should learn it anew. The floor that goes with the read keeps it safe.
+func (member *member) isWorthTrying(now time.Time) bool {
+	if now.Sub(member.lagAt) < relearnLag {
+		return false
+	}
+	member.lagAt = now
+	return true
+}
+
 func (group *Group) cost(member *member) time.Duration {
 	slots := max(member.Slots, 1)
 	waiting := max(member.inFlight, member.report.Busy)
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -20,6 +20,8 @@
 package dbset
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,6 +49,8 @@
 	primaryPenalty = 25 * time.Millisecond
 	// avoidFor is how long a database is avoided after a failed request.
 	avoidFor = 500 * time.Millisecond
+	// relearnLag is how often one read tries a replica that was far behind.
+	relearnLag = 400 * time.Millisecond
 	// unknownLag is assumed for a replica of which no lag is known.
 	unknownLag = 60 * time.Millisecond
 )
@@ -90,6 +94,8 @@
 	latency  time.Duration
 	inFlight int
 	failures int
+	// refusals are the failures that were refused connections.
+	refusals int
 	// failingSince is the first of the failures in a row, failedAt the last.
 	failingSince time.Time
 	failedAt     time.Time
@@ -339,12 +345,12 @@
 }
 
 func (member *member) heard(now time.Time) {
-	member.failures = 0
+	member.failures, member.refusals = 0, 0
 	member.failingSince = time.Time{}
 	member.heardAt = now
 }
 
-// Begin notes a request on its way to a database.
+// Begin notes a request that is meant for a database.
 func (group *Group) Begin(id string) {
 	group.mu.Lock()
 	defer group.mu.Unlock()
@@ -353,6 +359,15 @@
 	}
 }
 
+// End notes the end of a request.
+func (group *Group) End(id string) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if to, ok := group.members[id]; ok {
+		to.inFlight--
+	}
+}
+
 // Done notes the answer to a request that was sent at began.
 func (group *Group) Done(id string, position posn.Position, began, now time.Time) {
 	group.mu.Lock()
@@ -361,7 +376,6 @@
 	if !ok {
 		return
 	}
-	from.inFlight--
 	from.heard(now)
 	const weight = 8 // of the past in the moving average of the latency
 	from.latency += (now.Sub(began) - from.latency) / weight
@@ -375,18 +389,19 @@
 	}
 }
 
-// Failed notes that a request or a connection got no answer.
-func (group *Group) Failed(id string, inFlight bool, now time.Time) {
+// Failed notes that a request got no answer. A refused connection shows at once
+// that the database doesn't run.
+func (group *Group) Failed(id string, isRefused bool, now time.Time) {
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	from, ok := group.members[id]
 	if !ok {
 		return
 	}
-	if inFlight {
-		from.inFlight--
-	}
 	from.failures++
+	if isRefused {
+		from.refusals++
+	}
 	from.failedAt = now
 	if from.failingSince.IsZero() {
 		from.failingSince = now
@@ -489,6 +504,7 @@
 	// FailingSince is when the database began not to answer; zero if it does.
 	FailingSince time.Time
 	Failures     int
+	Refusals     int
 	HeardAt      time.Time
 }
 
@@ -501,7 +517,7 @@
 		known := group.members[id]
 		state.Members = append(state.Members, MemberState{
 			Member: known.Member, Report: known.report, ReportedAt: known.reportedAt,
-			FailingSince: known.failingSince, Failures: known.failures, HeardAt: known.heardAt,
+			FailingSince: known.failingSince, Failures: known.failures, Refusals: known.refusals, HeardAt: known.heardAt,
 		})
 	}
 	return state
@@ -511,6 +527,12 @@
 // VM to be cut off from it.
 const cutAfter = 600 * time.Millisecond
 
+// HasGrant reports whether the VM may use the group's primary.
+func (group *Group) HasGrant(now time.Time) bool {
+	_, ok := group.Primary(now)
+	return ok
+}
+
 // CutFrom returns the primary if this VM can't reach it, though it reaches
 // another database of the group.
 func (group *Group) CutFrom(now time.Time) (string, bool) {
@@ -560,4 +582,28 @@
 }
 
 // quietPrimary is how long a primary may be unheard before its keeper asks it.
-const quietPrimary = 250 * time.Millisecond
+const quietPrimary = 150 * time.Millisecond
+
+// Summary describes the members for a log line: role, latency in ms, requests
+// under way, failures in a row and lag in ms.
+func (group *Group) Summary(now time.Time) string {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	var text strings.Builder
+	for _, id := range group.order {
+		known := group.members[id]
+		role := "replica"
+		if id == group.primary {
+			role = "primary"
+		}
+		if known.Leaving {
+			role += "Leaving"
+		}
+		fmt.Fprintf(&text, "%s=%s/%d/%d/%d/%d ", id, role,
+			known.latency.Milliseconds(), known.inFlight, known.failures, known.lag.Milliseconds())
+	}
+	if !group.grantedUntil.After(now) {
+		text.WriteString("noGrant")
+	}
+	return strings.TrimSpace(text.String())
+}
--- a/engine/single.go
+++ b/engine/single.go
@@ -36,6 +36,8 @@
 	arrived time.Time
 	tries   int
 	exclude map[string]bool
+	// hasNoRoom says that a database's queue was too long.
+	hasNoRoom bool
 }
 
 func (session *Session) attempt(call wires.Call, route config.Route) *attempt {
@@ -72,13 +74,10 @@
 		if choice.Reason != dbset.Nowhere {
 			return choice, true
 		}
-		if attempt.exclude != nil {
-			attempt.exclude = nil
-			continue
-		}
-		if !attempt.waitFor(changed) {
+		if attempt.hasNoRoom || !attempt.waitFor(changed) {
 			return choice, false
 		}
+		attempt.exclude = nil
 	}
 }
 
@@ -124,12 +123,14 @@
 	if pool == nil {
 		return nil, conset.ErrClosed
 	}
-	wait := max(attempt.patience(), busyPause)
-	link, err := pool.Get(wait, attempt.route.Priority, attempt.session.misfit)
+	attempt.group.Begin(member.ID)
+	defer attempt.group.End(member.ID)
+	link, err := pool.Get(attempt.patience(), attempt.route.Priority, attempt.session.misfit)
 	if errors.Is(err, conset.ErrDial) {
-		attempt.group.Failed(member.ID, false, attempt.session.engine.now())
+		attempt.group.Failed(member.ID, conset.IsRefused(err), attempt.session.engine.now())
 	}
 	if err != nil {
+		attempt.hasNoRoom = attempt.hasNoRoom || errors.Is(err, conset.ErrNoRoom)
 		return nil, err
 	}
 	if err := attempt.session.restore(link, attempt.call, false); err != nil {
@@ -144,10 +145,11 @@
 func (attempt *attempt) ask(link *conset.Link, request wires.Request, timeout time.Duration) (wires.Answer, error) {
 	clock, id := attempt.session.engine.Clock, link.Member.ID
 	attempt.group.Begin(id)
+	defer attempt.group.End(id)
 	began := clock.Now()
 	answer, err := link.Ask(request, timeout)
 	if err != nil {
-		attempt.group.Failed(id, true, clock.Now())
+		attempt.group.Failed(id, false, clock.Now())
 		return answer, err
 	}
 	attempt.group.Done(id, answer.Position, began, clock.Now())
@@ -158,6 +160,14 @@
 	return attempt.session.refuse(attempt.call, wires.Busy, reason)
 }
 
+// blocked is why a request was not sent: reason, unless databases had no room.
+func (attempt *attempt) blocked(reason string) string {
+	if attempt.hasNoRoom {
+		return "noRoom"
+	}
+	return reason
+}
+
 func (attempt *attempt) retried(member dbset.Member, reason string) {
 	attempt.session.engine.Stats.Retries.Add(reason, 1)
 	attempt.session.engine.Log.Write(event.RequestRetried, event.Fields{
@@ -174,7 +184,7 @@
 	for ; attempt.tries < maxAttempts && attempt.remaining() > 0; attempt.tries++ {
 		choice, ok := attempt.choose()
 		if !ok {
-			return attempt.giveUp("noDatabase")
+			return attempt.giveUp(attempt.blocked("noDatabase"))
 		}
 		answer, reason := attempt.readAt(choice)
 		if reason == "" {
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -148,7 +148,7 @@
 		attempt.retried(choice.Member, reason)
 	}
 	tx.isBroken, tx.isTold = true, true
-	return attempt.giveUp("noDatabase"), false
+	return attempt.giveUp(attempt.blocked("noDatabase")), false
 }
 
 func (attempt *attempt) chooseFor(tx *transaction) (dbset.Choice, bool) {
--- a/event/event.go
+++ b/event/event.go
@@ -34,6 +34,7 @@
 	DutyLost         ID = 3008
 	SlotsChanged     ID = 3009
 	ReplicaUnsealed  ID = 3010
+	GroupState       ID = 3011
 	ConfigApplied    ID = 4001
 	ConfigRefused    ID = 4002
 	StoreFailing     ID = 4003
@@ -73,7 +74,7 @@
 	{RequestRetried, logrus.InfoLevel, "Request retried", "A request that did not run, or a read, is sent again.", []string{"request", "slot", "reason", "attempt"}, "0.2"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The keeper has not heard from the primary for longer than its delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
 	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term"}, "0.1"},
-	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "tookMs"}, "0.1"},
+	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "position", "sealed", "allRevoked", "sealMs", "revokeMs", "tookMs"}, "0.1"},
 	{PromotionFailed, logrus.ErrorLevel, "Promotion failed", "The attempt ended without a primary; it is repeated. If it goes on, look for slots that don't answer.", []string{"group", "term", "error"}, "0.1"},
 	{PromotionUseless, logrus.ErrorLevel, "Promotion not begun", "No majority of slots answers, so a promotion would not help. Bring slots back.", []string{"group", "answering", "slots"}, "0.1"},
 	{SlotDropped, logrus.WarnLevel, "Slot dropped", "Connections to a slot that does not answer were closed.", []string{"group", "slot", "connections"}, "0.1"},
@@ -81,6 +82,7 @@
 	{DutyLost, logrus.WarnLevel, "Duty lost", "This VM orders no promotions any more: its record in the store lapsed or was replaced.", []string{"token", "reason"}, "0.2"},
 	{SlotsChanged, logrus.InfoLevel, "Databases changed", "The registrations of databases differ from those before.", []string{"slots", "leaving"}, "0.2"},
 	{ReplicaUnsealed, logrus.InfoLevel, "Replica unsealed", "A seal that no promotion followed was ended.", []string{"group", "slot"}, "0.2"},
+	{GroupState, logrus.InfoLevel, "State of a group", "What this VM knows of a group: for each database role, latency in ms, requests under way, failures in a row and lag in ms; and where reads went so far.", []string{"group", "term", "slots", "routes"}, "0.2"},
 	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket is in force on this VM.", []string{"number", "ticket"}, "0.1"},
 	{ConfigRefused, logrus.ErrorLevel, "Configuration refused", "A ticket in the store can't be applied; the VM keeps the one before. Submit a ticket that mends it.", []string{"number", "error"}, "0.1"},
 	{StoreFailing, logrus.WarnLevel, "Store failing", "Calls to the platform's store fail. All goes on but the acceptance of tickets.", []string{"error"}, "0.1"},
--- a/grants/grants.go
+++ b/grants/grants.go
@@ -31,8 +31,9 @@
 const (
 	// askEvery leaves room for several lost datagrams within a grant.
 	askEvery = 400 * time.Millisecond
-	// askAgain is the pause before an unanswered question is repeated.
-	askAgain = 100 * time.Millisecond
+	// askAgain is the pause before the next question while a grant is missing or
+	// the last one was not answered.
+	askAgain = 60 * time.Millisecond
 	// revokeEvery is the pause between two revocations to a VM.
 	revokeEvery = 25 * time.Millisecond
 	// margin covers clocks that run at other rates.
@@ -135,6 +136,12 @@
 }
 
 func (agent *Agent) pause() time.Duration {
+	now := agent.Clock.Now()
+	for _, group := range agent.Groups() {
+		if !group.HasGrant(now) {
+			return askAgain
+		}
+	}
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	if agent.answered {
--- a/promo/ask.go
+++ b/promo/ask.go
@@ -24,7 +24,7 @@
 	link, err := pool.Get(timeout, controlPriority, nil)
 	if err != nil {
 		if errors.Is(err, conset.ErrDial) || errors.Is(err, conset.ErrOther) {
-			group.Failed(id, false, clock.Now())
+			group.Failed(id, conset.IsRefused(err), clock.Now())
 		}
 		return dbset.Report{}, err
 	}
--- a/promo/carry.go
+++ b/promo/carry.go
@@ -40,26 +40,34 @@
 		keeper.unseal(seals)
 		return errNoCandidate
 	}
-	defer keeper.Grants.Thaw(keeper.Group.Name)
-	if !keeper.Grants.Freeze(ctx, keeper.Group.Name) {
+	defer keeper.Grants.Thaw(keeper.Group.Name) // also after a failure
+	isConfirmed := keeper.Grants.Freeze(ctx, keeper.Group.Name)
+	if !isConfirmed {
 		keeper.waitOut(ctx, sealedAt)
 	}
+	orderedAt := keeper.Clock.Now()
 	if err := keeper.order(ctx, best.member); err != nil {
 		keeper.unseal(seals)
 		return err
 	}
 	err := keeper.awaitLead(ctx, best.member, state.Term)
+	if err == nil {
+		keeper.Group.Show(keeper.Group.Term())
+		keeper.Grants.Thaw(keeper.Group.Name)
+	}
 	keeper.unseal(seals)
 	if err != nil {
 		return err
 	}
-	keeper.Group.Show(keeper.Group.Term())
-	keeper.demote(state, term)
 	keeper.Log.Write(event.PromotionDone, event.Fields{
 		"group": keeper.Group.Name, "term": term, "slot": best.member.ID,
 		"position": best.report.Received.String(),
+		"sealed":   len(seals), "allRevoked": isConfirmed,
+		"sealMs":   sealedAt.Sub(began).Milliseconds(),
+		"revokeMs": orderedAt.Sub(sealedAt).Milliseconds(),
 		"tookMs":   keeper.Clock.Now().Sub(began).Milliseconds(),
 	})
+	keeper.demote(state, term)
 	return nil
 }
 
--- a/promo/due.go
+++ b/promo/due.go
@@ -30,7 +30,7 @@
 	cause := NotDue
 	switch primary, ok := find(state, state.Primary); {
 	case !ok:
-		if !noneSince.IsZero() && now.Sub(noneSince) >= noneFor {
+		if !noneSince.IsZero() && now.Sub(noneSince) >= noneFor && isAllKnown(state, noneSince) {
 			cause = Missing
 		}
 	case primary.Leaving:
@@ -47,7 +47,21 @@
 }
 
 func isSilent(member dbset.MemberState, now time.Time) bool {
-	return member.Failures >= leastFailures && !member.FailingSince.IsZero() && now.Sub(member.FailingSince) >= failsFor
+	if member.Refusals >= leastFailures && now.Sub(member.FailingSince) >= refusesFor {
+		return true
+	}
+	return member.Failures >= leastFailures && now.Sub(member.HeardAt) >= failsFor
+}
+
+// isAllKnown reports whether every database has told its role, or failed, since a
+// time: one that has not might lead.
+func isAllKnown(state dbset.State, since time.Time) bool {
+	for _, member := range state.Members {
+		if member.Failures < leastFailures && member.ReportedAt.Before(since) {
+			return false
+		}
+	}
+	return true
 }
 
 func find(state dbset.State, id string) (dbset.MemberState, bool) {
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -59,8 +59,10 @@
 const (
 	// lookEvery is how often a group's state is judged.
 	lookEvery = 50 * time.Millisecond
-	// failsFor is how long a primary must have left requests unanswered.
-	failsFor = 500 * time.Millisecond
+	// failsFor is how long a primary must have answered nothing.
+	failsFor = 600 * time.Millisecond
+	// refusesFor is how long a primary must have refused connections.
+	refusesFor = 200 * time.Millisecond
 	// leastFailures is how many in a row.
 	leastFailures = 2
 	// noneFor is how long a group must have had no primary at all.
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -182,6 +182,8 @@
 			return nil
 		case <-vm.Clock.After(lingers / 4):
 		}
+		vm.links.Trim()
+		vm.summarize()
 		if vm.members.sweep(vm.Clock.Now()) {
 			vm.rearrange()
 		}
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -13,12 +13,15 @@
 const (
 	// pollEvery is how often a database is asked that is to be asked often. It
 	// leaves two polls within a replica's evidence.
-	pollEvery = 200 * time.Millisecond
+	pollEvery = 150 * time.Millisecond
 	// pollSeldom is how often the others are: a keeper has to know which
 	// replicas it could promote.
 	pollSeldom = 2500 * time.Millisecond
-	// pollWait bounds one poll.
-	pollWait = 400 * time.Millisecond
+	// summaryEvery is how often the state of the groups is logged.
+	summaryEvery = 5 * time.Second
+	// pollWait bounds one poll. A database with a long queue answers late, but
+	// answers other requests meanwhile, which shows that it lives.
+	pollWait = 200 * time.Millisecond
 )
 
 // rearrange brings groups, pools and duties in line with configuration and
@@ -90,7 +93,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-vm.Clock.After(pollEvery / 2):
+		case <-vm.Clock.After(pollEvery / 3):
 		}
 	}
 }
@@ -122,3 +125,19 @@
 	// The group keeps the outcome, and its failures.
 	_, _ = promo.Ask(group, pool, vm.Clock, wires.Inquire{}, pollWait)
 }
+
+// summarize logs what is known of each group, so that a failure can be explained
+// afterwards.
+func (vm *VM) summarize() {
+	now := vm.Clock.Now()
+	if now.Sub(vm.summarizedAt) < summaryEvery {
+		return
+	}
+	vm.summarizedAt = now
+	for _, group := range vm.allGroups() {
+		vm.Log.Write(event.GroupState, event.Fields{
+			"group": group.Name, "term": group.Term(), "slots": group.Summary(now),
+			"routes": vm.Stats.Routes.String(),
+		})
+	}
+}
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -76,7 +76,9 @@
 	mu      sync.Mutex
 	groups  map[string]*running
 	isReady bool
-	callers sync.WaitGroup
+	// summarizedAt belongs to sweepMembers.
+	summarizedAt time.Time
+	callers      sync.WaitGroup
 }
 
 // running is a group with the duties that belong to it.
@@ -171,14 +173,19 @@
 	return nil
 }
 
-// share is the VM's part of the connections to one of a group's databases.
+// share is the VM's part of the connections to one of a group's databases. VMs
+// see uneven traffic and close what they don't use, so each may open borrow times
+// its part; the database refuses what would be too many.
 func (vm *VM) share(group string) int {
-	const reserve = 10 // a tenth stays free for VMs that come and go
+	const (
+		reserve = 10 // a tenth stays free for VMs that come and go
+		borrow  = 2
+	)
 	limit := 1
 	if current := vm.config.Load(); current != nil {
 		limit = current.Upstreams[group].MaxConnections
 	}
-	return max(1, (limit-limit/reserve)/max(vm.vms.count(), 1))
+	return max(1, (limit-limit/reserve)*borrow/max(vm.vms.count(), borrow))
 }
 
 // accept takes callers until the process ends.
