--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 package config
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -73,6 +74,22 @@
 // Holder holds the Config in force. The zero value holds none.
 type Holder struct {
 	current atomic.Pointer[Config]
+
+	mu    sync.Mutex
+	first chan struct{}
+}
+
+// First returns a channel that is closed once there is a Config.
+func (holder *Holder) First() <-chan struct{} {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	if holder.first == nil {
+		holder.first = make(chan struct{})
+		if holder.current.Load() != nil {
+			close(holder.first)
+		}
+	}
+	return holder.first
 }
 
 // Load returns the Config in force, or nil before the first.
@@ -81,13 +98,15 @@
 // Offer installs a Config if its version is higher than the one in force
 // (rule 17) and reports whether it did.
 func (holder *Holder) Offer(config *Config) bool {
-	for {
-		old := holder.current.Load()
-		if old != nil && config.Version <= old.Version {
-			return false
-		}
-		if holder.current.CompareAndSwap(old, config) {
-			return true
-		}
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	old := holder.current.Load()
+	if old != nil && config.Version <= old.Version {
+		return false
+	}
+	holder.current.Store(config)
+	if old == nil && holder.first != nil {
+		close(holder.first)
 	}
+	return true
 }
--- a/conset/conset.go
+++ b/conset/conset.go
@@ -8,7 +8,9 @@
 package conset
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -34,13 +36,15 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 1 * time.Second
+	// maxDialing bounds the connections that are being opened at a time.
+	maxDialing = 2
 	// fullPause is how long a pool opens nothing after the database said that
 	// it has too many connections.
 	fullPause = 150 * time.Millisecond
 	// idleFor is how long a connection beyond the first is kept unused. Few open
 	// connections leave room for VMs that come back while their old connections
 	// still count.
-	idleFor = 3 * time.Second
+	idleFor = 1 * time.Second
 	// heldWeight is that of the past in the average time of use.
 	heldWeight = 16
 )
@@ -74,13 +78,17 @@
 	// Limit is the VM's share of the database's connections.
 	Limit func() int
 
-	mu        sync.Mutex
-	idle      []*Link
-	open      int
-	waiters   []*waiter
-	held      time.Duration
-	fullUntil time.Time
-	closed    bool
+	mu      sync.Mutex
+	idle    []*Link
+	open    int
+	waiters []*waiter
+	held    time.Duration
+	dialing int
+	// isFull says that the database had too many connections at the last try;
+	// tryAt is when to try again.
+	isFull bool
+	tryAt  time.Time
+	closed bool
 }
 
 // Get returns a connection that nothing else uses. fit prefers one of the idle
@@ -112,9 +120,8 @@
 		return nil, ErrClosed
 	}
 	now := pool.Clock.Now()
-	isFull := now.Before(pool.fullUntil)
-	if !isFull && pool.open < max(pool.Limit(), 1) {
-		pool.open++
+	if pool.mayOpen(now) {
+		pool.reserve(now)
 		pool.mu.Unlock()
 		return pool.dial(left)
 	}
@@ -126,8 +133,8 @@
 		return nil, ErrNoRoom
 	}
 	wait := left
-	if isFull {
-		wait = min(left, pool.fullUntil.Sub(now))
+	if pool.isFull && now.Before(pool.tryAt) {
+		wait = min(left, pool.tryAt.Sub(now))
 	}
 	pool.mu.Unlock()
 	link, err := pool.await(waits, wait, left)
@@ -137,6 +144,33 @@
 	return link, err
 }
 
+// mayOpen reports whether another connection may be opened now. Openings are few
+// at a time, since each takes one of the database's slots, and one by one while
+// the database says that it has too many.
+func (pool *Pool) mayOpen(now time.Time) bool {
+	return pool.open < max(pool.Limit(), 1) && pool.dialing < maxDialing &&
+		(!pool.isFull || !now.Before(pool.tryAt))
+}
+
+func (pool *Pool) reserve(now time.Time) {
+	pool.open++
+	pool.dialing++
+	if pool.isFull {
+		pool.tryAt = now.Add(fullPause)
+	}
+}
+
+// grow lets the next waiter open a connection, if that is allowed.
+func (pool *Pool) grow(now time.Time) {
+	if pool.closed || len(pool.waiters) == 0 || !pool.mayOpen(now) {
+		return
+	}
+	pool.reserve(now)
+	next := pool.waiters[0]
+	pool.waiters = pool.waiters[1:]
+	next.ready <- nil
+}
+
 // expected is how long a request waits that has so many ahead of it.
 func (pool *Pool) expected(ahead int) time.Duration {
 	return pool.held * time.Duration(ahead) / time.Duration(max(pool.open, 1))
@@ -201,8 +235,8 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case link := <-waits.ready:
-		return pool.handed(link, timeout)
+	case link, isOpen := <-waits.ready:
+		return pool.handed(link, isOpen, timeout)
 	case <-timer.C:
 	}
 	pool.mu.Lock()
@@ -211,19 +245,17 @@
 	if wasWaiting {
 		return nil, ErrNoRoom
 	}
-	return pool.handed(<-waits.ready, timeout)
+	link, isOpen := <-waits.ready
+	return pool.handed(link, isOpen, timeout)
 }
 
 // handed takes what a waiter was given: a connection, or with nil the right to
-// open one, unless the pool has been closed.
-func (pool *Pool) handed(link *Link, timeout time.Duration) (*Link, error) {
+// open one. The channel is closed with the pool.
+func (pool *Pool) handed(link *Link, isOpen bool, timeout time.Duration) (*Link, error) {
 	if link != nil {
 		return link, nil
 	}
-	pool.mu.Lock()
-	closed := pool.closed
-	pool.mu.Unlock()
-	if closed {
+	if !isOpen {
 		return nil, ErrClosed
 	}
 	return pool.dial(timeout)
@@ -231,29 +263,43 @@
 
 func (pool *Pool) dial(timeout time.Duration) (*Link, error) {
 	wire, answer, err := pool.Dialer.Dial(pool.Member, min(timeout, dialTimeout))
-	if err == nil && answer.Code == wires.OK {
+	isFull := err == nil && answer.Code == wires.Full || errors.Is(err, syscall.ECONNRESET)
+	isOpen := err == nil && answer.Code == wires.OK
+	pool.dialed(isOpen, isFull)
+	if isOpen {
 		return &Link{
 			Wire: wire, Member: pool.Member, pool: pool, takenAt: pool.Clock.Now(),
 			Values: make(map[string]string), Shapes: make(map[string]wires.Shape),
 		}, nil
 	}
-	pool.mu.Lock()
-	pool.open--
-	if err == nil && answer.Code == wires.Full {
-		pool.fullUntil = pool.Clock.Now().Add(fullPause)
-	}
-	pool.mu.Unlock()
 	switch {
+	case isFull:
+		return nil, errAgain
 	case err != nil:
 		return nil, errors.Mark(err, ErrDial)
 	case answer.Code == wires.WrongMember:
 		return nil, ErrOther
-	case answer.Code == wires.Full:
-		return nil, errAgain
 	}
 	return nil, ErrNoRoom
 }
 
+// dialed notes the end of an opening.
+func (pool *Pool) dialed(isOpen, isFull bool) {
+	now := pool.Clock.Now()
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.dialing--
+	if !isOpen {
+		pool.open--
+	}
+	if isFull {
+		pool.isFull, pool.tryAt = true, now.Add(fullPause)
+	} else if isOpen {
+		pool.isFull = false
+	}
+	pool.grow(now)
+}
+
 // Put gives a connection back that is outside of a transaction.
 func (pool *Pool) Put(link *Link) {
 	now := pool.Clock.Now()
@@ -281,13 +327,8 @@
 	link.Close()
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	if len(pool.waiters) > 0 && !pool.closed && pool.open <= max(pool.Limit(), 1) {
-		next := pool.waiters[0]
-		pool.waiters = pool.waiters[1:]
-		next.ready <- nil
-		return
-	}
 	pool.open--
+	pool.grow(pool.Clock.Now())
 }
 
 // Close closes the idle connections and refuses new requests; the others are
@@ -303,7 +344,7 @@
 		link.Close()
 	}
 	for _, next := range waiting {
-		next.ready <- nil
+		close(next.ready)
 	}
 }
 
@@ -381,3 +422,21 @@
 
 // Close closes all pools.
 func (set *Set) Close() { set.SetMembers(nil) }
+
+// Summary describes the pools of a group's databases for a log line:
+// connections that are open, those of them that are idle, and requests that wait.
+func (set *Set) Summary(group string) string {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	var parts []string
+	for id, pool := range set.pools {
+		if pool.Member.Group != group {
+			continue
+		}
+		pool.mu.Lock()
+		parts = append(parts, fmt.Sprintf("%s=%d/%d/%d", id, pool.open, len(pool.idle), len(pool.waiters)))
+		pool.mu.Unlock()
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -561,22 +561,30 @@
 )
 
 // Needs returns the members that should be asked now. A keeper follows the
-// primary; other VMs ask only while they have no grant or a primary fails.
+// primary. Other VMs ask only while they have no grant: one replica for its
+// evidence, or all databases while no primary is known.
 func (group *Group) Needs(isKeeper bool, now time.Time) map[string]Need {
 	group.mu.Lock()
 	defer group.mu.Unlock()
-	hasGrant := group.grantedUntil.After(now.Add(GrantFor / 2))
+	hasGrant := group.grantedUntil.After(now.Add(EvidenceFor / 2))
 	needs := make(map[string]Need)
+	var witness string
 	for id, member := range group.members {
 		isPrimary := id == group.primary
 		switch {
-		case group.primary == "" || !hasGrant && !isKeeper:
+		case group.primary == "":
 			needs[id] = Often
 		case isPrimary && (isKeeper && now.Sub(member.heardAt) > quietPrimary || member.failures > 0):
 			needs[id] = Often
 		case isKeeper && !isPrimary:
 			needs[id] = Seldom
 		}
+		if !isPrimary && !member.isAvoided(now) && (witness == "" || id < witness) {
+			witness = id
+		}
+	}
+	if !hasGrant && group.mayUseProof && witness != "" {
+		needs[witness] = Often
 	}
 	return needs
 }
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -32,6 +32,8 @@
 	margin = 100 * time.Millisecond
 	// lookEvery is how often a VM without the duty reads the record.
 	lookEvery = 1 * time.Second
+	// firstLook is the pause before a VM that has just started reads again.
+	firstLook = 150 * time.Millisecond
 	// Key is the record's name in the store.
 	Key = "bramley/duty/promote"
 )
@@ -153,7 +155,7 @@
 // takeIfFree replaces a record that is free, and returns when to look again.
 func (holder *Holder) takeIfFree(ctx context.Context) time.Duration {
 	if holder.seenAt.IsZero() {
-		return lookEvery
+		return firstLook
 	}
 	var old record
 	if holder.seen.Revision != 0 {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -28,6 +28,10 @@
 	"github.com/bramleydoor/bramleydoor/wires"
 )
 
+// startWait is how long a new session waits for a VM's first configuration.
+// Callers wait 2 s for the start of a session.
+const startWait = 1200 * time.Millisecond
+
 // Groups finds what is known of a database group by its upstream's name.
 type Groups interface {
 	Group(name string) *dbset.Group
@@ -54,17 +58,19 @@
 const (
 	// Serving is before a stop.
 	Serving Phase = iota
-	// Closing ends each session after its next answer.
+	// Closing ends each session shortly after its next answer.
 	Closing
 	// Ending ends idle sessions at once, and open transactions with their next
 	// statement.
 	Ending
+	// Refusing takes no request any more; what runs still finishes.
+	Refusing
 )
 
 // Enter begins a phase of a planned stop.
 func (engine *Engine) Enter(phase Phase) {
 	engine.phase.Store(int32(phase))
-	if phase != Ending {
+	if phase < Ending {
 		return
 	}
 	engine.mu.Lock()
@@ -76,6 +82,9 @@
 
 func (engine *Engine) isIn(phase Phase) bool { return Phase(engine.phase.Load()) >= phase }
 
+// IsRefusing reports whether no request is taken any more.
+func (engine *Engine) IsRefusing() bool { return engine.isIn(Refusing) }
+
 // Sessions returns the number of sessions.
 func (engine *Engine) Sessions() int {
 	engine.mu.Lock()
@@ -108,15 +117,29 @@
 	engine.add(session)
 	defer engine.remove(session)
 	defer session.abandon()
-	if _, ok := session.route(); !ok {
-		session.refuse(wires.Call{}, wires.UnknownDatabase, "noRoute")
-		_ = session.front.Reply(wires.Answer{Code: wires.UnknownDatabase, Text: database, IsStart: true})
-		return
-	}
-	if session.front.Reply(wires.Answer{IsStart: true}) != nil {
+	answer := session.start()
+	answer.IsStart = true
+	if session.front.Reply(answer) != nil || answer.Code != wires.OK {
 		return
 	}
 	session.run()
 }
 
+// start decides whether the session may begin. On a VM that has just started it
+// waits for the configuration for a moment.
+func (session *Session) start() wires.Answer {
+	if session.engine.isIn(Refusing) {
+		return session.refuse(wires.Call{}, wires.Busy, "stopping")
+	}
+	select {
+	case <-session.engine.Config.First():
+	case <-session.engine.Clock.After(startWait):
+		return session.refuse(wires.Call{}, wires.Busy, "starting")
+	}
+	if _, ok := session.route(); !ok {
+		return session.refuse(wires.Call{}, wires.UnknownDatabase, "noRoute")
+	}
+	return wires.Answer{}
+}
+
 func (engine *Engine) now() time.Time { return engine.Clock.Now() }
--- a/engine/session.go
+++ b/engine/session.go
@@ -15,6 +15,15 @@
 // maxNames bounds the values, and the prepared statements, of one session.
 const maxNames = 256
 
+// lastWait is how long a stopping VM waits for a caller, in a transaction or for
+// the first request of a session.
+const lastWait = 300 * time.Millisecond
+
+// betweenWait is how long a stopping VM waits for the next request of a session
+// that has just been answered: one that follows at once may be on its way, and
+// would be lost if the session ended with the answer.
+const betweenWait = 60 * time.Millisecond
+
 // commit is a session's last commit in a group.
 type commit struct {
 	position posn.Position
@@ -30,6 +39,7 @@
 	prepared map[string]wires.Shape
 	own      map[string]commit
 	tx       *transaction
+	answered int
 }
 
 func (session *Session) route() (config.Route, bool) {
@@ -43,13 +53,10 @@
 
 func (session *Session) run() {
 	for {
-		if session.tx == nil && session.engine.isIn(Closing) {
-			return
-		}
 		call, err := session.front.Next(session.patience())
 		switch {
 		case errors.Is(err, wires.ErrIdle):
-			if session.tx == nil && session.engine.isIn(Ending) {
+			if session.tx == nil && session.engine.isIn(Closing) {
 				return
 			}
 			session.endIdle()
@@ -57,22 +64,44 @@
 		case err != nil:
 			return
 		}
-		answer := session.handle(call)
+		answer := session.take(call)
 		answer.State = session.state()
 		if session.front.Reply(answer) != nil {
 			return
 		}
+		session.answered++
 	}
 }
 
+// take answers a call, unless the VM takes none any more.
+func (session *Session) take(call wires.Call) wires.Answer {
+	if !session.engine.isIn(Refusing) {
+		return session.handle(call)
+	}
+	if session.tx != nil && !session.tx.isBroken {
+		session.tx.fail()
+		session.tx.isTold = true
+		return session.refuse(call, wires.Aborted, "stopping")
+	}
+	if session.tx != nil {
+		return session.handle(call)
+	}
+	return session.refuse(call, wires.Busy, "stopping")
+}
+
 // patience is how long the session waits for its caller; 0 is for ever.
 func (session *Session) patience() time.Duration {
+	if session.tx == nil && session.engine.isIn(Closing) {
+		if session.answered == 0 {
+			return lastWait
+		}
+		return betweenWait
+	}
 	if session.tx == nil || session.tx.isBroken {
 		return 0
 	}
 	idle := session.engine.Config.Load().Limits.TransactionIdle
 	if session.engine.isIn(Ending) {
-		const lastWait = 300 * time.Millisecond
 		return min(idle, lastWait)
 	}
 	return idle
--- a/event/event.go
+++ b/event/event.go
@@ -82,7 +82,7 @@
 	{DutyLost, logrus.WarnLevel, "Duty lost", "This VM orders no promotions any more: its record in the store lapsed or was replaced.", []string{"token", "reason"}, "0.2"},
 	{SlotsChanged, logrus.InfoLevel, "Databases changed", "The registrations of databases differ from those before.", []string{"slots", "leaving"}, "0.2"},
 	{ReplicaUnsealed, logrus.InfoLevel, "Replica unsealed", "A seal that no promotion followed was ended.", []string{"group", "slot"}, "0.2"},
-	{GroupState, logrus.InfoLevel, "State of a group", "What this VM knows of a group: for each database role, latency in ms, requests under way, failures in a row and lag in ms; and where reads went so far.", []string{"group", "term", "slots", "routes"}, "0.2"},
+	{GroupState, logrus.InfoLevel, "State of a group", "What this VM knows of a group: for each database role, latency in ms, requests under way, failures in a row and lag in ms; connections open, idle and waited for; and where reads went so far.", []string{"group", "term", "slots", "links", "routes"}, "0.2"},
 	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket is in force on this VM.", []string{"number", "ticket"}, "0.1"},
 	{ConfigRefused, logrus.ErrorLevel, "Configuration refused", "A ticket in the store can't be applied; the VM keeps the one before. Submit a ticket that mends it.", []string{"number", "error"}, "0.1"},
 	{StoreFailing, logrus.WarnLevel, "Store failing", "Calls to the platform's store fail. All goes on but the acceptance of tickets.", []string{"error"}, "0.1"},
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -66,7 +66,7 @@
 	// leastFailures is how many in a row.
 	leastFailures = 2
 	// noneFor is how long a group must have had no primary at all.
-	noneFor = 500 * time.Millisecond
+	noneFor = 300 * time.Millisecond
 	// askWait bounds one control request to a database.
 	askWait = 400 * time.Millisecond
 	// catchUpWait bounds the wait for replicas of a demoted primary.
@@ -91,6 +91,8 @@
 	Holder string
 	Clock  clock.Clock
 	Log    *event.Log
+	// IsSettled reports whether all databases that live are known.
+	IsSettled func() bool
 
 	noneSince time.Time
 }
@@ -115,11 +117,10 @@
 func (keeper *Keeper) step(ctx context.Context) time.Duration {
 	now := keeper.Clock.Now()
 	state := keeper.Group.State()
-	if state.Primary == "" && keeper.noneSince.IsZero() {
-		keeper.noneSince = now
-	}
-	if state.Primary != "" {
+	if state.Primary != "" || !keeper.IsSettled() {
 		keeper.noneSince = time.Time{}
+	} else if keeper.noneSince.IsZero() {
+		keeper.noneSince = now
 	}
 	cause := Due(state, keeper.Grants.CutShare(keeper.Group.Name, state.Primary), keeper.noneSince, now)
 	if cause == NotDue {
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -29,10 +29,14 @@
 	vmsEvery = 2 * time.Second
 	// vmLapses is how long a VM's line may be unchanged before it is not counted.
 	vmLapses = 8 * time.Second
-	// lingers is how long a database whose registration ended is kept as leaving:
-	// registrations may lapse while the store is down, and come back within two
-	// seconds of its return.
+	// lingers is how long a database whose registration ended is kept as leaving.
 	lingers = 3 * time.Second
+	// settles is how long after the store's return a registration may be missing
+	// though its database lives: those that lapsed are back within two seconds.
+	settles = 2300 * time.Millisecond
+	// sweepEvery is how often databases that are gone, and idle connections, are
+	// dropped.
+	sweepEvery = 500 * time.Millisecond
 	// vmPrefix is where VMs write their lines.
 	vmPrefix = "bramley/vms/"
 )
@@ -40,11 +44,13 @@
 // follow reads a prefix and then all its changes. read gets all items, change
 // one.
 func (vm *VM) follow(ctx context.Context, prefix string, read func([]store.Item), change func(store.Change)) error {
+	vm.members.storeIsBack(vm.Clock.Now())
 	isFailing := false
 	for ctx.Err() == nil {
 		err := vm.followOnce(ctx, prefix, func(items []store.Item) {
 			if isFailing {
 				vm.Log.Write(event.StoreBack, event.Fields{"prefix": prefix})
+				vm.members.storeIsBack(vm.Clock.Now())
 				isFailing = false
 			}
 			read(items)
@@ -58,12 +64,20 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-vm.Clock.After(storePause):
+		case <-vm.Clock.After(vm.storePause()):
 		}
 	}
 	return nil
 }
 
+// storePause is shorter while the VM knows no configuration and serves nobody.
+func (vm *VM) storePause() time.Duration {
+	if vm.config.Load() == nil {
+		return storePause / 4
+	}
+	return storePause
+}
+
 func (vm *VM) followOnce(ctx context.Context, prefix string, read func([]store.Item), change func(store.Change)) error {
 	items, revision, err := vm.Store.Range(ctx, prefix, false)
 	if err != nil {
@@ -114,14 +128,30 @@
 type members struct {
 	mu    sync.Mutex
 	known map[string]registered
+	// backAt is when the store came back last, or the VM started.
+	backAt time.Time
 }
 
 type registered struct {
 	member dbset.Member
-	// endedAt is when the registration ended; zero if it stands.
+	// endedAt is when the registration ended, for sure; zero if it stands. It
+	// may lie ahead, while the database may only have lapsed.
 	endedAt time.Time
 }
 
+func (members *members) storeIsBack(now time.Time) {
+	members.mu.Lock()
+	defer members.mu.Unlock()
+	members.backAt = now
+}
+
+// isSettled reports whether a database without a registration is gone.
+func (members *members) isSettled(now time.Time) bool {
+	members.mu.Lock()
+	defer members.mu.Unlock()
+	return now.Sub(members.backAt) >= settles
+}
+
 func (vm *VM) followMembers(ctx context.Context) error {
 	read := func(items []store.Item) {
 		vm.members.mu.Lock()
@@ -169,9 +199,23 @@
 	if !ok || !known.endedAt.IsZero() {
 		return
 	}
-	known.member.Leaving = true
 	known.endedAt = now
+	if settled := members.backAt.Add(settles); settled.After(now) {
+		known.endedAt = settled
+	}
+	members.known[key] = known
+	members.leave(key, now)
+}
+
+// leave marks a database as leaving once its registration has ended.
+func (members *members) leave(key string, now time.Time) bool {
+	known := members.known[key]
+	if known.member.Leaving || known.endedAt.IsZero() || known.endedAt.After(now) {
+		return false
+	}
+	known.member.Leaving = true
 	members.known[key] = known
+	return true
 }
 
 // sweepMembers drops databases whose registration has ended for good.
@@ -180,7 +224,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-vm.Clock.After(lingers / 4):
+		case <-vm.Clock.After(sweepEvery):
 		}
 		vm.links.Trim()
 		vm.summarize()
@@ -195,6 +239,7 @@
 	defer members.mu.Unlock()
 	var isChanged bool
 	for key, known := range members.known {
+		isChanged = members.leave(key, now) || isChanged
 		if !known.endedAt.IsZero() && now.Sub(known.endedAt) > lingers {
 			delete(members.known, key)
 			isChanged = true
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -60,6 +60,7 @@
 	keeper := &promo.Keeper{
 		Group: group, Links: vm.links, Orders: vm.Orders, Duty: vm.duty, Grants: vm.grants,
 		Holder: vm.Name, Clock: vm.Clock, Log: vm.Log,
+		IsSettled: func() bool { return vm.members.isSettled(vm.Clock.Now()) },
 	}
 	go func() {
 		if err := keeper.Run(ctx); err != nil {
@@ -137,6 +138,7 @@
 	for _, group := range vm.allGroups() {
 		vm.Log.Write(event.GroupState, event.Fields{
 			"group": group.Name, "term": group.Term(), "slots": group.Summary(now),
+			"links":  vm.links.Summary(group.Name),
 			"routes": vm.Stats.Routes.String(),
 		})
 	}
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -218,24 +218,33 @@
 	vm.engine.Serve(front, database)
 }
 
+// turnAway is how long the platform may still send callers to a VM that is not
+// ready: it asks once a second and believes the second answer.
+const turnAway = 2200 * time.Millisecond
+
 // stop ends all sessions as planned (rule 21).
 func (vm *VM) stop() {
 	vm.Log.Write(event.Stopping, event.Fields{"reason": "signal"})
 	vm.setReady(false)
 	began := vm.Clock.Now()
-	vm.await(began.Add(vm.Grace / 4))
+	vm.await(began.Add(min(turnAway, vm.Grace*2/5)))
 	vm.engine.Enter(engine.Closing)
 	vm.await(began.Add(vm.Grace / 2))
 	vm.engine.Enter(engine.Ending)
-	vm.await(began.Add(vm.Grace * 5 / 6))
+	vm.await(began.Add(vm.Grace * 2 / 3))
+	vm.engine.Enter(engine.Refusing)
+	vm.await(began.Add(vm.Grace * 9 / 10))
 	vm.links.Close()
 	vm.Log.Write(event.Stopped, nil)
 }
 
-// await waits until a time, or until all sessions have ended.
+// await waits until a time; once no more sessions are taken, only for the last.
 func (vm *VM) await(until time.Time) {
 	const look = 20 * time.Millisecond
 	for vm.Clock.Now().Before(until) {
+		if vm.engine.IsRefusing() && vm.engine.Sessions() == 0 {
+			return
+		}
 		<-vm.Clock.After(look)
 	}
 }
