--- a/conset/conset.go
+++ b/conset/conset.go
@@ -232,12 +232,10 @@
 }
 
 func (pool *Pool) await(waits *waiter, wait, timeout time.Duration) (*Link, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	select {
 	case link, isOpen := <-waits.ready:
 		return pool.handed(link, isOpen, timeout)
-	case <-timer.C:
+	case <-pool.Clock.After(wait):
 	}
 	pool.mu.Lock()
 	wasWaiting := pool.remove(waits)
--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -110,6 +110,9 @@
 			best, bestCost = candidate, cost
 		}
 	}
+	if best != nil && !best.reaches(floor, floorAt, query.Now) {
+		best.lagAt = query.Now
+	}
 	return best, replicas, bestCost
 }
 
@@ -143,11 +146,7 @@
 // isWorthTrying reports whether the replica's lag was learned so long ago that one
 // read should learn it anew. The floor that goes with the read keeps it safe.
 func (member *member) isWorthTrying(now time.Time) bool {
-	if now.Sub(member.lagAt) < relearnLag {
-		return false
-	}
-	member.lagAt = now
-	return true
+	return now.Sub(member.lagAt) >= relearnLag
 }
 
 func (group *Group) cost(member *member) time.Duration {
--- a/engine/single.go
+++ b/engine/single.go
@@ -108,11 +108,10 @@
 	if left <= 0 {
 		return false
 	}
-	timer := time.NewTimer(min(left, look))
-	defer timer.Stop()
+	timer := attempt.session.engine.Clock.After(min(left, look))
 	select {
 	case <-changed:
-	case <-timer.C:
+	case <-timer:
 	}
 	return true
 }
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -31,7 +31,7 @@
 	all, byGroup := vm.members.all()
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
-	if current == nil {
+	if current == nil || vm.isStopped {
 		return
 	}
 	vm.links.SetMembers(all)
@@ -50,7 +50,7 @@
 			delete(vm.groups, name)
 		}
 	}
-	vm.isReady = len(all) > 0
+	vm.isReady = len(all) > 0 && !vm.isStopping
 }
 
 // start starts the duties of a group.
@@ -62,12 +62,12 @@
 		Holder: vm.Name, Clock: vm.Clock, Log: vm.Log,
 		IsSettled: func() bool { return vm.members.isSettled(vm.Clock.Now()) },
 	}
-	go func() {
+	vm.duties.Go(func() {
 		if err := keeper.Run(ctx); err != nil {
 			vm.Log.Write(event.DutyEnded, event.Fields{"error": err.Error()})
 		}
-	}()
-	go vm.poll(ctx, group)
+	})
+	vm.duties.Go(func() { vm.poll(ctx, group) })
 	return &running{group: group, stop: stop}
 }
 
@@ -86,10 +86,10 @@
 			}
 			done := make(chan struct{})
 			asked[id], busy[id] = now, done
-			go func() {
+			vm.duties.Go(func() {
 				defer close(done)
 				vm.ask(group, id)
-			}()
+			})
 		}
 		select {
 		case <-ctx.Done():
@@ -99,6 +99,18 @@
 	}
 }
 
+// stopGroups ends the duties of all groups.
+func (vm *VM) stopGroups() {
+	vm.mu.Lock()
+	vm.isStopped = true
+	for name, found := range vm.groups {
+		found.stop()
+		delete(vm.groups, name)
+	}
+	vm.mu.Unlock()
+	vm.duties.Wait()
+}
+
 func pause(need dbset.Need) time.Duration {
 	if need == dbset.Often {
 		return pollEvery
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -73,12 +73,15 @@
 	members members
 	vms     vms
 
-	mu      sync.Mutex
-	groups  map[string]*running
-	isReady bool
+	mu         sync.Mutex
+	groups     map[string]*running
+	isReady    bool
+	isStopping bool
+	isStopped  bool
 	// summarizedAt belongs to sweepMembers.
 	summarizedAt time.Time
 	callers      sync.WaitGroup
+	duties       sync.WaitGroup
 }
 
 // running is a group with the duties that belong to it.
@@ -127,11 +130,13 @@
 	vm.Log.Write(event.Started, event.Fields{"address": vm.Address, "zone": vm.Zone})
 	select {
 	case err := <-ended:
+		vm.stopGroups()
 		return err
 	case <-ctx.Done():
 	}
 	vm.stop()
 	stopBackground()
+	vm.stopGroups()
 	<-ended
 	<-released
 	return nil
@@ -157,10 +162,11 @@
 	return vm.isReady
 }
 
-func (vm *VM) setReady(isReady bool) {
+// leave makes the VM not ready for good.
+func (vm *VM) leave() {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
-	vm.isReady = isReady
+	vm.isReady, vm.isStopping = false, true
 }
 
 // Group returns what is known of an upstream's databases, or nil.
@@ -225,7 +231,7 @@
 // stop ends all sessions as planned (rule 21).
 func (vm *VM) stop() {
 	vm.Log.Write(event.Stopping, event.Fields{"reason": "signal"})
-	vm.setReady(false)
+	vm.leave()
 	began := vm.Clock.Now()
 	vm.await(began.Add(min(turnAway, vm.Grace*2/5)))
 	vm.engine.Enter(engine.Closing)
@@ -248,3 +254,9 @@
 		<-vm.Clock.After(look)
 	}
 }
+
+// IsKeeper reports whether the VM holds the duty to promote.
+func (vm *VM) IsKeeper() bool {
+	_, ok := vm.duty.Holds(0)
+	return ok
+}
