Admit work to a database by its latency, due time and a standing queue

Now a VM gives a database as much as it takes without delay (additive increase, multiplicative decrease), the rest waits by priority and due time, and a queue that has stood for 300 ms takes only what can be answered in time.

--- a/conset/conset.go
+++ b/conset/conset.go
@@ -3,7 +3,7 @@
 // Rules (numbers as in docs/DESIGN.md):
 //
 //  14. A connection serves one transaction at a time. One in doubt is closed.
-//  15. Requests wait by priority, then in order of arrival, until their deadline.
+//  15. Requests wait as package admit says.
 //  16. A VM opens no more than its share of a database's limit.
 package conset
 
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/wires"
@@ -45,8 +46,6 @@
 	// connections leave room for VMs that come back while their old connections
 	// still count.
 	idleFor = 1 * time.Second
-	// heldWeight is that of the past in the average time of use.
-	heldWeight = 16
 )
 
 // errAgain says that the way to a connection has changed.
@@ -60,14 +59,13 @@
 	Values map[string]string
 	Shapes map[string]wires.Shape
 
-	pool    *Pool
-	takenAt time.Time
-	usedAt  time.Time
+	pool      *Pool
+	usedAt    time.Time
+	isResting bool
 }
 
 type waiter struct {
-	priority int
-	ready    chan *Link
+	ready chan *Link
 }
 
 // Pool has the connections to one database. Set the exported fields first.
@@ -81,9 +79,8 @@
 	mu      sync.Mutex
 	idle    []*Link
 	open    int
-	waiters []*waiter
-	held    time.Duration
 	dialing int
+	gate    admit.Gate[*waiter]
 	// isFull says that the database had too many connections at the last try;
 	// tryAt is when to try again.
 	isFull bool
@@ -92,53 +89,53 @@
 }
 
 // Get returns a connection that nothing else uses. fit prefers one of the idle
-// ones: the one with the lowest result. A request that would wait for longer than
-// timeout is refused at once.
-func (pool *Pool) Get(timeout time.Duration, priority int, fit func(*Link) int) (*Link, error) {
-	until := pool.Clock.Now().Add(timeout)
+// ones: the one with the lowest result. A request that would wait for too long is
+// refused at once.
+func (pool *Pool) Get(want admit.Want, fit func(*Link) int) (*Link, error) {
+	until := pool.Clock.Now().Add(want.Patience)
 	for {
-		if link := pool.takeIdle(fit); link != nil {
-			return link, nil
-		}
-		left := until.Sub(pool.Clock.Now())
-		if left <= 0 {
-			return nil, ErrNoRoom
+		want.Patience = until.Sub(pool.Clock.Now())
+		link, err := pool.step(want, fit)
+		if link != nil && !link.IsAlive() {
+			pool.Discard(link)
+			continue
 		}
-		link, err := pool.openOrWait(left, priority)
 		if !errors.Is(err, errAgain) {
 			return link, err
 		}
 	}
 }
 
-// openOrWait opens a connection if the share allows one, or waits for one. The
-// error errAgain says that it is worth looking again.
-func (pool *Pool) openOrWait(left time.Duration, priority int) (*Link, error) {
+// step takes an idle connection, opens one, or waits for one. The error errAgain
+// says that it is worth looking again.
+func (pool *Pool) step(want admit.Want, fit func(*Link) int) (*Link, error) {
 	pool.mu.Lock()
 	if pool.closed {
 		pool.mu.Unlock()
 		return nil, ErrClosed
 	}
 	now := pool.Clock.Now()
+	if link := pool.takeIdle(fit); link != nil {
+		pool.mu.Unlock()
+		return link, nil
+	}
 	if pool.mayOpen(now) {
 		pool.reserve(now)
 		pool.mu.Unlock()
-		return pool.dial(left)
+		return pool.dial(want.Patience)
 	}
-	waits := &waiter{priority: priority, ready: make(chan *Link, 1)}
-	ahead := pool.enqueue(waits)
-	if pool.expected(ahead) > left {
-		pool.remove(waits)
+	waits := &waiter{ready: make(chan *Link, 1)}
+	if want.Patience <= 0 || !pool.gate.Queue(want, waits, now) {
 		pool.mu.Unlock()
 		return nil, ErrNoRoom
 	}
-	wait := left
+	wait := want.Patience
 	if pool.isFull && now.Before(pool.tryAt) {
-		wait = min(left, pool.tryAt.Sub(now))
+		wait = min(wait, pool.tryAt.Sub(now))
 	}
 	pool.mu.Unlock()
-	link, err := pool.await(waits, wait, left)
-	if errors.Is(err, ErrNoRoom) && wait < left {
+	link, err := pool.await(waits, wait, want.Patience)
+	if errors.Is(err, ErrNoRoom) && wait < want.Patience {
 		return nil, errAgain
 	}
 	return link, err
@@ -148,53 +145,41 @@
 // at a time, since each takes one of the database's slots, and one by one while
 // the database says that it has too many.
 func (pool *Pool) mayOpen(now time.Time) bool {
-	return pool.open < max(pool.Limit(), 1) && pool.dialing < maxDialing &&
+	return pool.gate.HasRoom() && pool.open < max(pool.Limit(), 1) && pool.dialing < maxDialing &&
 		(!pool.isFull || !now.Before(pool.tryAt))
 }
 
 func (pool *Pool) reserve(now time.Time) {
 	pool.open++
 	pool.dialing++
+	pool.gate.Enter()
 	if pool.isFull {
 		pool.tryAt = now.Add(fullPause)
 	}
 }
 
-// grow lets the next waiter open a connection, if that is allowed.
+// grow hands waiters idle connections, or the right to open one.
 func (pool *Pool) grow(now time.Time) {
-	if pool.closed || len(pool.waiters) == 0 || !pool.mayOpen(now) {
-		return
-	}
-	pool.reserve(now)
-	next := pool.waiters[0]
-	pool.waiters = pool.waiters[1:]
-	next.ready <- nil
-}
-
-// expected is how long a request waits that has so many ahead of it.
-func (pool *Pool) expected(ahead int) time.Duration {
-	return pool.held * time.Duration(ahead) / time.Duration(max(pool.open, 1))
-}
-
-func (pool *Pool) takeIdle(fit func(*Link) int) *Link {
-	for {
-		pool.mu.Lock()
-		link := pool.popIdle(fit)
-		pool.mu.Unlock()
-		if link == nil {
-			return nil
+	for !pool.closed && pool.gate.Waiting() > 0 {
+		var link *Link
+		switch {
+		case len(pool.idle) > 0 && pool.gate.HasRoom():
+			link = pool.takeIdle(nil)
+		case pool.mayOpen(now):
+			pool.reserve(now)
+		default:
+			return
 		}
-		if link.IsAlive() {
-			link.takenAt = pool.Clock.Now()
-			return link
+		if next, ok := pool.gate.Next(); ok {
+			next.ready <- link
 		}
-		pool.Discard(link)
 	}
 }
 
-func (pool *Pool) popIdle(fit func(*Link) int) *Link {
+// takeIdle takes the idle connection that fits best, if the database has room.
+func (pool *Pool) takeIdle(fit func(*Link) int) *Link {
 	last := len(pool.idle) - 1
-	if last < 0 {
+	if last < 0 || !pool.gate.HasRoom() {
 		return nil
 	}
 	best := last
@@ -208,29 +193,10 @@
 	}
 	link := pool.idle[best]
 	pool.idle = slices.Delete(pool.idle, best, best+1)
+	pool.gate.Enter()
 	return link
 }
 
-// enqueue adds a waiter and returns how many are ahead of it.
-func (pool *Pool) enqueue(waits *waiter) int {
-	at := len(pool.waiters)
-	for at > 0 && pool.waiters[at-1].priority > waits.priority {
-		at--
-	}
-	pool.waiters = slices.Insert(pool.waiters, at, waits)
-	return at
-}
-
-// remove takes a waiter out; false if it has been served.
-func (pool *Pool) remove(waits *waiter) bool {
-	at := slices.Index(pool.waiters, waits)
-	if at < 0 {
-		return false
-	}
-	pool.waiters = slices.Delete(pool.waiters, at, at+1)
-	return true
-}
-
 func (pool *Pool) await(waits *waiter, wait, timeout time.Duration) (*Link, error) {
 	select {
 	case link, isOpen := <-waits.ready:
@@ -238,7 +204,7 @@
 	case <-pool.Clock.After(wait):
 	}
 	pool.mu.Lock()
-	wasWaiting := pool.remove(waits)
+	wasWaiting := pool.gate.Remove(waits)
 	pool.mu.Unlock()
 	if wasWaiting {
 		return nil, ErrNoRoom
@@ -266,7 +232,7 @@
 	pool.dialed(isOpen, isFull)
 	if isOpen {
 		return &Link{
-			Wire: wire, Member: pool.Member, pool: pool, takenAt: pool.Clock.Now(),
+			Wire: wire, Member: pool.Member, pool: pool,
 			Values: make(map[string]string), Shapes: make(map[string]wires.Shape),
 		}, nil
 	}
@@ -289,6 +255,7 @@
 	pool.dialing--
 	if !isOpen {
 		pool.open--
+		pool.gate.Leave()
 	}
 	if isFull {
 		pool.isFull, pool.tryAt = true, now.Add(fullPause)
@@ -302,29 +269,32 @@
 func (pool *Pool) Put(link *Link) {
 	now := pool.Clock.Now()
 	pool.mu.Lock()
-	pool.held += (now.Sub(link.takenAt) - pool.held) / heldWeight
-	link.usedAt, link.takenAt = now, now
 	if pool.closed || pool.open > max(pool.Limit(), 1) {
 		pool.mu.Unlock()
 		pool.Discard(link)
 		return
 	}
-	if len(pool.waiters) > 0 {
-		next := pool.waiters[0]
-		pool.waiters = pool.waiters[1:]
-		pool.mu.Unlock()
-		next.ready <- link
-		return
-	}
+	pool.release(link)
+	link.usedAt = now
 	pool.idle = append(pool.idle, link)
+	pool.grow(now)
 	pool.mu.Unlock()
 }
 
+// release ends the link's claim on the database's room.
+func (pool *Pool) release(link *Link) {
+	if !link.isResting {
+		pool.gate.Leave()
+	}
+	link.isResting = false
+}
+
 // Discard closes a connection; a request that waits may open another.
 func (pool *Pool) Discard(link *Link) {
 	link.Close()
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
+	pool.release(link)
 	pool.open--
 	pool.grow(pool.Clock.Now())
 }
@@ -334,8 +304,8 @@
 func (pool *Pool) Close() {
 	pool.mu.Lock()
 	pool.closed = true
-	idle, waiting := pool.idle, pool.waiters
-	pool.idle, pool.waiters = nil, nil
+	idle, waiting := pool.idle, pool.gate.Drain()
+	pool.idle = nil
 	pool.open -= len(idle)
 	pool.mu.Unlock()
 	for _, link := range idle {
@@ -361,6 +331,36 @@
 	}
 }
 
+// Rest says that the link's transaction waits for its caller: it keeps the
+// connection and leaves the database's room to others.
+func (link *Link) Rest() {
+	link.pool.mu.Lock()
+	defer link.pool.mu.Unlock()
+	if !link.isResting {
+		link.isResting = true
+		link.pool.gate.Leave()
+		link.pool.grow(link.pool.Clock.Now())
+	}
+}
+
+// Wake says that the transaction goes on. It doesn't wait for room, since what it
+// holds at the database may be in the way of others.
+func (link *Link) Wake() {
+	link.pool.mu.Lock()
+	defer link.pool.mu.Unlock()
+	if link.isResting {
+		link.isResting = false
+		link.pool.gate.Enter()
+	}
+}
+
+// Observe learns from the latency of an answer.
+func (link *Link) Observe(latency time.Duration) {
+	link.pool.mu.Lock()
+	defer link.pool.mu.Unlock()
+	link.pool.gate.Observe(latency, link.pool.Clock.Now())
+}
+
 // Put gives the link back to its pool.
 func (link *Link) Put() { link.pool.Put(link) }
 
@@ -422,7 +422,8 @@
 func (set *Set) Close() { set.SetMembers(nil) }
 
 // Summary describes the pools of a group's databases for a log line:
-// connections that are open, those of them that are idle, and requests that wait.
+// connections that are open, those of them that are idle, how much work the
+// database gets at a time, and requests that wait.
 func (set *Set) Summary(group string) string {
 	set.mu.Lock()
 	defer set.mu.Unlock()
@@ -432,7 +433,7 @@
 			continue
 		}
 		pool.mu.Lock()
-		parts = append(parts, fmt.Sprintf("%s=%d/%d/%d", id, pool.open, len(pool.idle), len(pool.waiters)))
+		parts = append(parts, fmt.Sprintf("%s=%d/%d/%d/%d", id, pool.open, len(pool.idle), pool.gate.Limit(), pool.gate.Waiting()))
 		pool.mu.Unlock()
 	}
 	slices.Sort(parts)
--- a/conset/conset_test.go
+++ b/conset/conset_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/conset"
 	"github.com/bramleydoor/bramleydoor/fakeup"
@@ -25,9 +26,13 @@
 	synctest.Test(t, func(t *testing.T) { test(qt.New(t), fakeup.New("ledger")) })
 }
 
+func want(patience time.Duration, priority int) admit.Want {
+	return admit.Want{Patience: patience, ShortPatience: patience, Priority: priority}
+}
+
 func get(c *qt.C, pool *conset.Pool) *conset.Link {
 	c.Helper()
-	link, err := pool.Get(time.Second, 1, nil)
+	link, err := pool.Get(want(time.Second, 1), nil)
 	c.Assert(err, qt.IsNil)
 	return link
 }
@@ -37,7 +42,7 @@
 	within(t, func(c *qt.C, upstream *fakeup.Upstream) {
 		pool := pool(upstream, 2)
 		first, second := get(c, pool), get(c, pool)
-		_, err := pool.Get(100*time.Millisecond, 1, nil)
+		_, err := pool.Get(want(100*time.Millisecond, 1), nil)
 		c.Assert(err, qt.Equals, conset.ErrNoRoom)
 		first.Put()
 		c.Assert(get(c, pool), qt.Equals, first)
@@ -54,7 +59,7 @@
 		served := make(chan int, 2)
 		for _, priority := range []int{2, 0} {
 			go func() {
-				link, err := pool.Get(time.Second, priority, nil)
+				link, err := pool.Get(want(time.Second, priority), nil)
 				c.Check(err, qt.IsNil)
 				served <- priority
 				link.Put()
@@ -72,20 +77,20 @@
 		pool := pool(upstream, 1)
 		for range 40 {
 			link := get(c, pool)
-			time.Sleep(100 * time.Millisecond)
+			link.Observe(100 * time.Millisecond)
 			link.Put()
 		}
 		held := get(c, pool)
 		for range 5 {
 			go func() {
-				link, err := pool.Get(10*time.Second, 1, nil)
+				link, err := pool.Get(want(10*time.Second, 1), nil)
 				c.Check(err, qt.IsNil)
 				link.Put()
 			}()
 			synctest.Wait()
 		}
 		began := time.Now()
-		_, err := pool.Get(300*time.Millisecond, 1, nil)
+		_, err := pool.Get(want(300*time.Millisecond, 1), nil)
 		c.Assert(err, qt.Equals, conset.ErrNoRoom)
 		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
 		held.Put()
@@ -101,7 +106,7 @@
 		done := make(chan error, 4)
 		for range 4 {
 			go func() {
-				link, err := pool.Get(time.Second, 1, nil)
+				link, err := pool.Get(want(time.Second, 1), nil)
 				if err == nil {
 					link.Put()
 				}
@@ -135,7 +140,7 @@
 		link := get(c, pool)
 		ended := make(chan error, 1)
 		go func() {
-			_, err := pool.Get(time.Second, 1, nil)
+			_, err := pool.Get(want(time.Second, 1), nil)
 			ended <- err
 		}()
 		synctest.Wait()
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -314,7 +314,7 @@
 
 // A rollback leaves nothing behind.
 func TestRollback(t *testing.T) {
-	run(t, "current", func(c *qt.C, bed *bed, front *fakeup.Front) {
+	run(t, "current", func(c *qt.C, _ *bed, front *fakeup.Front) {
 		front.Ask(begin, "BEGIN")
 		front.Ask(write, "WRITE x 1")
 		c.Assert(front.Ask(rollback, "ROLLBACK").State, qt.Equals, wires.Idle)
--- a/engine/single.go
+++ b/engine/single.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/config"
 	"github.com/bramleydoor/bramleydoor/conset"
 	"github.com/bramleydoor/bramleydoor/dbset"
@@ -58,6 +59,13 @@
 	return attempt.remaining() - attempt.route.Timeout*11/20
 }
 
+func (attempt *attempt) want() admit.Want {
+	return admit.Want{
+		Priority: attempt.route.Priority, Due: attempt.arrived.Add(attempt.route.Target),
+		Patience: attempt.patience(), ShortPatience: attempt.route.Target / 2,
+	}
+}
+
 func (attempt *attempt) skip(id string) {
 	if attempt.exclude == nil {
 		attempt.exclude = make(map[string]bool)
@@ -124,7 +132,7 @@
 	}
 	attempt.group.Begin(member.ID)
 	defer attempt.group.End(member.ID)
-	link, err := pool.Get(attempt.patience(), attempt.route.Priority, attempt.session.misfit)
+	link, err := pool.Get(attempt.want(), attempt.session.misfit)
 	if errors.Is(err, conset.ErrDial) {
 		attempt.group.Failed(member.ID, conset.IsRefused(err), attempt.session.engine.now())
 	}
@@ -151,7 +159,11 @@
 		attempt.group.Failed(id, false, clock.Now())
 		return answer, err
 	}
-	attempt.group.Done(id, answer.Position, began, clock.Now())
+	now := clock.Now()
+	attempt.group.Done(id, answer.Position, began, now)
+	if answer.Code == wires.OK {
+		link.Observe(now.Sub(began))
+	}
 	return answer, nil
 }
 
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -115,6 +115,8 @@
 // askPinned asks on a transaction's connection; while the database has no room,
 // it asks again.
 func (attempt *attempt) askPinned(link *conset.Link, request wires.Request) (wires.Answer, error) {
+	link.Wake()
+	defer link.Rest()
 	for {
 		answer, err := attempt.ask(link, request, max(attempt.remaining(), leastAttempt))
 		if err != nil || answer.Code != wires.Busy || answer.State != wires.Open || attempt.patience() <= 0 {
--- a/promo/ask.go
+++ b/promo/ask.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/conset"
 	"github.com/bramleydoor/bramleydoor/dbset"
@@ -21,7 +22,7 @@
 func Ask(group *dbset.Group, pool *conset.Pool, clock clock.Clock, request wires.Request, timeout time.Duration) (dbset.Report, error) {
 	id := pool.Member.ID
 	began := clock.Now()
-	link, err := pool.Get(timeout, controlPriority, nil)
+	link, err := pool.Get(admit.Want{Priority: controlPriority, Patience: timeout, ShortPatience: timeout}, nil)
 	if err != nil {
 		if errors.Is(err, conset.ErrDial) || errors.Is(err, conset.ErrOther) {
 			group.Failed(id, conset.IsRefused(err), clock.Now())
--- a/promo/due_test.go
+++ b/promo/due_test.go
@@ -45,12 +45,12 @@
 		"silent without a candidate": {with(func(m *dbset.MemberState) {
 			m.Failures, m.HeardAt = 2, ago(700)
 		}), dbset.MemberState{Member: dbset.Member{ID: "b"}, Failures: 3}, "a", 0, time.Time{}, promo.NotDue},
-		"leaving": {with(func(m *dbset.MemberState) { m.Leaving = true }), replica, "a", 0, time.Time{}, promo.Leaving},
-		"cut from some": {heard, replica, "a", 0.4, time.Time{}, promo.Cut},
+		"leaving":              {with(func(m *dbset.MemberState) { m.Leaving = true }), replica, "a", 0, time.Time{}, promo.Leaving},
+		"cut from some":        {heard, replica, "a", 0.4, time.Time{}, promo.Cut},
 		"cut from one of five": {heard, replica, "a", 0.2, time.Time{}, promo.NotDue},
-		"none, all known": {heard, replica, "", 0, ago(400), promo.Missing},
-		"none for a moment": {heard, replica, "", 0, ago(100), promo.NotDue},
-		"none, one unheard": {with(func(m *dbset.MemberState) { m.ReportedAt = time.Time{} }), replica, "", 0, ago(400), promo.NotDue},
+		"none, all known":      {heard, replica, "", 0, ago(400), promo.Missing},
+		"none for a moment":    {heard, replica, "", 0, ago(100), promo.NotDue},
+		"none, one unheard":    {with(func(m *dbset.MemberState) { m.ReportedAt = time.Time{} }), replica, "", 0, ago(400), promo.NotDue},
 	} {
 		t.Run(name, func(t *testing.T) {
 			state := dbset.State{Term: 1, Primary: test.known, Members: []dbset.MemberState{test.primary, test.replica}}
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -137,9 +137,8 @@
 	vm.stop()
 	stopBackground()
 	vm.stopGroups()
-	<-ended
 	<-released
-	return nil
+	return <-ended
 }
 
 // id names the VM to other VMs; another VM may get the same name later.
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -301,14 +301,6 @@
 	})
 }
 
-// follow keeps the registrations' roles true while a test runs.
-func (fleet *fleet) follow(duration time.Duration) {
-	for range int(duration / (100 * time.Millisecond)) {
-		time.Sleep(100 * time.Millisecond)
-		fleet.register()
-	}
-}
-
 // Rules 8 and 10: a primary that stops, or falls silent, is replaced; writes go on
 // within two seconds.
 func TestPrimaryIsReplaced(t *testing.T) {
