Follow the store at the keeper and pass the news on in its grants

Now the keeper watches; its answers tell how far, and how old its own record is, so that VMs ask the store only without fresh news and take the duty as soon as the record has lapsed. A VM's knowledge of the configuration stays under 2 s old.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -32,6 +32,8 @@
 	margin = 100 * time.Millisecond
 	// lookEvery is how often a VM without the duty reads the record.
 	lookEvery = 1 * time.Second
+	// heardFor is how long the holder must be silent for others to read.
+	heardFor = 1 * time.Second
 	// firstLook is the pause before a VM that has just started reads again.
 	firstLook = 150 * time.Millisecond
 	// Key is the record's name in the store.
@@ -57,14 +59,20 @@
 	// VM is the name under which the duty is held, Run one of this process.
 	VM  string
 	Run uint64
+	// HeardAt is when the duty's holder was last heard; while it is, nobody else
+	// reads the record.
+	HeardAt func() time.Time
 
-	mu     sync.Mutex
-	until  time.Time
-	token  uint64
-	known  string
-	seen   store.Item
-	seenAt time.Time
-	beat   uint64
+	mu    sync.Mutex
+	until time.Time
+	token uint64
+	// confirmed is the revision of the last rewrite.
+	confirmed uint64
+	noted     Note
+	known     string
+	seen      store.Item
+	seenAt    time.Time
+	beat      uint64
 }
 
 // Holds returns the fencing token if the VM holds the duty now and for at
@@ -105,10 +113,59 @@
 		return renewEvery
 	}
 	holder.lost("lapsed")
-	holder.look(ctx)
+	if holder.Clock.Now().Sub(holder.HeardAt()) < heardFor {
+		return heardFor / 2
+	}
+	if !holder.takeNote() {
+		holder.look(ctx)
+	}
 	return holder.takeIfFree(ctx)
 }
 
+// Note is what the holder itself tells of its record.
+type Note struct {
+	Holder   string
+	Token    uint64
+	Revision uint64
+	// At is a time at which, or before which, the holder sent it.
+	At time.Time
+}
+
+// Told returns the note of a VM that holds the duty, with the age of its record.
+func (holder *Holder) Told() (revision uint64, age time.Duration) {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	return holder.confirmed, holder.Clock.Now().Sub(holder.until.Add(margin - TTL))
+}
+
+// Heard takes a holder's note: its record lapses TTL after it was sent.
+func (holder *Holder) Heard(note Note) {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	holder.noted = note
+}
+
+// takeNote goes by the holder's last note if that is newer than what was read.
+func (holder *Holder) takeNote() bool {
+	holder.mu.Lock()
+	note := holder.noted
+	holder.mu.Unlock()
+	if note.Revision == 0 || note.Revision < holder.seen.Revision {
+		return false
+	}
+	if note.Revision > holder.seen.Revision {
+		value, err := json.Marshal(record{Holder: note.Holder, Token: note.Token})
+		if err != nil {
+			return false
+		}
+		holder.saw(store.Item{Key: Key, Value: value, Revision: note.Revision})
+	}
+	if note.At.Before(holder.seenAt) {
+		holder.seenAt = note.At
+	}
+	return holder.Clock.Now().Before(note.At.Add(TTL + 2*margin))
+}
+
 func (holder *Holder) lost(reason string) {
 	holder.mu.Lock()
 	token := holder.token
@@ -198,7 +255,7 @@
 	case err == nil:
 		holder.saw(item)
 		holder.mu.Lock()
-		holder.token, holder.until = next.Token, sent.Add(TTL-margin)
+		holder.token, holder.until, holder.confirmed = next.Token, sent.Add(TTL-margin), item.Revision
 		holder.mu.Unlock()
 		return true
 	case errors.Is(err, store.ErrConflict):
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -16,12 +16,13 @@
 	"github.com/bramleydoor/bramleydoor/duty"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fakekv"
+	"github.com/bramleydoor/bramleydoor/store"
 )
 
 func holder(tree *fakekv.Tree, vm string, run uint64) *duty.Holder {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	return &duty.Holder{Store: tree, Clock: clock.System{}, Log: event.NewLog(logger, vm), VM: vm, Run: run}
+	return &duty.Holder{Store: tree, Clock: clock.System{}, Log: event.NewLog(logger, vm), VM: vm, Run: run, HeardAt: func() time.Time { return time.Time{} }}
 }
 
 // serve runs a holder until the returned function ends it.
@@ -149,3 +150,56 @@
 		t.Fatal("no VM ever held the duty")
 	}
 }
+
+// cutTree is a store that one VM may be cut off from.
+type cutTree struct {
+	*fakekv.Tree
+	isCut bool
+}
+
+func (tree *cutTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+	if tree.isCut {
+		return store.Item{}, store.ErrUnavailable
+	}
+	return tree.Tree.Swap(ctx, key, value, revision)
+}
+
+// A VM that hears of the record from its holder takes the duty as soon as it has
+// lapsed, without having watched the record, and never before.
+func TestTakeoverByNote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tree := &fakekv.Tree{}
+		first, second := holder(tree, "vm1", 1), holder(tree, "vm2", 2)
+		cut := &cutTree{Tree: tree}
+		first.Store = cut
+		var heard time.Time
+		second.HeardAt = func() time.Time { return heard }
+		stopFirst := serve(first)
+		time.Sleep(100 * time.Millisecond)
+		heard = time.Now()
+		stopSecond := serve(second)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			heard = time.Now()
+			token, ok := first.Holds(0)
+			c.Assert(ok, qt.IsTrue)
+			revision, age := first.Told()
+			second.Heard(duty.Note{Holder: "vm1", Token: token, Revision: revision, At: heard.Add(-age)})
+		}
+		cut.isCut = true
+		for {
+			time.Sleep(10 * time.Millisecond)
+			if _, ok := first.Holds(0); !ok {
+				break
+			}
+			_, ok := second.Holds(0)
+			c.Assert(ok, qt.IsFalse)
+		}
+		time.Sleep(700 * time.Millisecond)
+		_, ok := second.Holds(0)
+		c.Assert(ok, qt.IsTrue)
+		stopFirst()
+		stopSecond()
+	})
+}
--- a/grants/grants.go
+++ b/grants/grants.go
@@ -69,11 +69,41 @@
 	From  string
 	Seq   uint64
 	Token uint64
+	// News is what a keeper has heard from the store.
+	News News
 	// Notes has the granted groups, the group to revoke, or the groups whose
 	// primary the asking VM can't reach.
 	Notes []note
 }
 
+// News is how far a keeper follows the store, so that other VMs need not.
+type News struct {
+	_ struct{} `cbor:",toarray"`
+	// Feeds are in the order that all VMs agree on.
+	Feeds []Feed
+	// VMs is how many VMs ask for grants.
+	VMs int
+	// DutyRevision is that of the keeper's record, DutyAgeMS how long ago, in ms,
+	// it was sent.
+	DutyRevision uint64
+	DutyAgeMS    int64
+}
+
+// Keeper is a VM that holds the duty.
+type Keeper struct {
+	VM    string
+	Token uint64
+}
+
+// Feed is how far a keeper follows one prefix of the store.
+type Feed struct {
+	_ struct{} `cbor:",toarray"`
+	// Changed is the revision of the last change.
+	Changed uint64
+	// AgeMS is how long ago, in ms, that was known to be the last.
+	AgeMS int64
+}
+
 // Duty tells who orders promotions.
 type Duty interface {
 	Holds(need time.Duration) (uint64, bool)
@@ -94,11 +124,16 @@
 	// Groups returns all groups; Peers the VMs known.
 	Groups func() []*dbset.Group
 	Peers  func() []string
+	// Tell is what a keeper knows of the store; Hear takes that of a keeper, with
+	// the time of the question.
+	Tell func() News
+	Hear func(news News, from Keeper, asked time.Time)
 
 	mu       sync.Mutex
 	seq      uint64
 	askedAt  time.Time
 	answered bool
+	heardAt  time.Time
 	token    uint64
 	tokenAt  time.Time
 	granted  map[string]time.Time
@@ -244,10 +279,30 @@
 		})
 	}
 	agent.granted[question.From] = now
+	reply.News = agent.Tell()
+	reply.News.VMs = agent.heard(now)
 	agent.mu.Unlock()
 	agent.send(question.From, reply)
 }
 
+// heard counts the VMs that asked lately.
+func (agent *Agent) heard(now time.Time) int {
+	var count int
+	for _, at := range agent.granted {
+		if now.Sub(at) < dbset.GrantFor {
+			count++
+		}
+	}
+	return count
+}
+
+// HeardAt returns when a keeper last answered a question of this VM.
+func (agent *Agent) HeardAt() time.Time {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	return agent.heardAt
+}
+
 func ceilMS(age time.Duration) int64 { return age.Milliseconds() + 1 }
 
 // takeToken forgets what was granted under another token.
@@ -266,12 +321,13 @@
 	askedAt := agent.askedAt
 	isLast := reply.Seq == agent.seq && !agent.answered
 	if isLast {
-		agent.answered = true
+		agent.answered, agent.heardAt = true, agent.Clock.Now()
 	}
 	agent.mu.Unlock()
 	if !isLast {
 		return
 	}
+	agent.Hear(reply.News, Keeper{VM: reply.From, Token: reply.Token}, askedAt)
 	byName := make(map[string]note, len(reply.Notes))
 	for _, note := range reply.Notes {
 		byName[note.Group] = note
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -10,25 +10,43 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/duty"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/grants"
 	"github.com/bramleydoor/bramleydoor/store"
 )
 
 const (
-	// followWait is how long a watch waits. The store counts each as a call, but
-	// one that has fallen silent is found out only by its end, and a
+	// keeperWait is how long a keeper's watch waits; the store counts each as a
+	// call. A watch that has fallen silent is found out only by its end, and a
 	// configuration has to be in force 3 s after its acceptance.
+	keeperWait = 1300 * time.Millisecond
+	// followWait is how long the watches of VMs wait that hear no keeper.
 	followWait = 1800 * time.Millisecond
-	// knownFor is how long the VM's own line must stand before replicas' reports
-	// stand for a keeper's grant: keepers have read it by then.
-	knownFor = 3 * time.Second
+	// configAge and memberAge are how old a VM's knowledge of the configuration
+	// and of the registrations may be before it asks the store itself.
+	configAge = 1900 * time.Millisecond
+	memberAge = 3500 * time.Millisecond
+	// gapAge is how old the knowledge must be for the store to have been down
+	// meanwhile: longer than a watch.
+	gapAge = 2200 * time.Millisecond
+	// feedLook is how often a VM that goes by its keeper's news looks at them.
+	feedLook = 100 * time.Millisecond
 	// storePause is the pause after a call of the store that failed. The
 	// configuration has to be in force within seconds of the store's return.
 	storePause = 400 * time.Millisecond
-	// vmsEvery is how often the list of VMs is read.
-	vmsEvery = 2 * time.Second
-	// vmLapses is how long a VM's line may be unchanged before it is not counted.
-	vmLapses = 8 * time.Second
+	// vmsEvery is how often the list of VMs is read, lineEvery how often a VM
+	// writes its line.
+	vmsEvery  = 4 * time.Second
+	lineEvery = 6 * time.Second
+	// provesFor is how long after that replicas' reports may stand for a keeper's
+	// grant, and vmLapses how long keepers count with the VM: longer. Both outlast
+	// a loss of the store; a VM that died costs failovers EvidenceFor until then.
+	provesFor = 20 * time.Second
+	vmLapses  = 25 * time.Second
+	// knownFor is how long the first line must stand before: keepers have read it
+	// by then.
+	knownFor = vmsEvery + time.Second
 	// lingers is how long a database whose registration ended is kept as leaving.
 	lingers = 3 * time.Second
 	// settles is how long after the store's return a registration may be missing
@@ -41,25 +59,76 @@
 	vmPrefix = "bramley/vms/"
 )
 
-// follow reads a prefix and then all its changes. read gets all items, change
-// one.
-func (vm *VM) follow(ctx context.Context, prefix string, read func([]store.Item), change func(store.Change)) error {
+// feed is how far the VM follows one prefix of the store.
+type feed struct {
+	prefix string
+	// maxAge is how old the knowledge may be.
+	maxAge time.Duration
+	read   func([]store.Item)
+	change func(store.Change)
+
+	mu sync.Mutex
+	// covered is the revision up to which all is known, changed that of the last
+	// change, asOf when that was so.
+	covered uint64
+	changed uint64
+	asOf    time.Time
+	// hinted is the last change that the keeper told of.
+	hinted uint64
+}
+
+func (feed *feed) cover(changed, covered uint64, now time.Time) {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	feed.changed, feed.covered, feed.asOf = max(feed.changed, changed), max(feed.covered, covered), now
+}
+
+// hear takes a keeper's news, asked for at a time.
+func (feed *feed) hear(news grants.Feed, asked time.Time) {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	feed.hinted = max(feed.hinted, news.Changed)
+	if asOf := asked.Add(-time.Duration(news.AgeMS) * time.Millisecond); feed.hinted <= feed.covered && asOf.After(feed.asOf) {
+		feed.asOf = asOf
+	}
+}
+
+func (feed *feed) tell(now time.Time) grants.Feed {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	return grants.Feed{Changed: feed.changed, AgeMS: now.Sub(feed.asOf).Milliseconds() + 1}
+}
+
+// isBehind reports whether the keeper told of a change that is not known yet.
+func (feed *feed) isBehind() bool {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	return feed.hinted > feed.covered
+}
+
+func (feed *feed) isOlder(now time.Time, age time.Duration) bool {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	return now.Sub(feed.asOf) > age
+}
+
+// follow reads a prefix and then all its changes.
+func (vm *VM) follow(ctx context.Context, feed *feed) error {
 	vm.members.storeIsBack(vm.Clock.Now())
 	isFailing := false
 	for ctx.Err() == nil {
-		err := vm.followOnce(ctx, prefix, func(items []store.Item) {
+		err := vm.followOnce(ctx, feed, func() {
 			if isFailing {
-				vm.Log.Write(event.StoreBack, event.Fields{"prefix": prefix})
+				vm.Log.Write(event.StoreBack, event.Fields{"prefix": feed.prefix})
 				vm.members.storeIsBack(vm.Clock.Now())
 				isFailing = false
 			}
-			read(items)
-		}, change)
-		if errors.Is(err, store.ErrForgotten) {
+		})
+		if err == nil || errors.Is(err, store.ErrForgotten) {
 			continue
 		}
 		if !isFailing && ctx.Err() == nil {
-			vm.Log.Write(event.StoreFailing, event.Fields{"prefix": prefix, "error": err.Error()})
+			vm.Log.Write(event.StoreFailing, event.Fields{"prefix": feed.prefix, "error": err.Error()})
 			isFailing = true
 		}
 		select {
@@ -70,33 +139,108 @@
 	return nil
 }
 
-// storePause is shorter while the VM knows no configuration and serves nobody.
-func (vm *VM) storePause() time.Duration {
-	if vm.config.Load() == nil {
-		return storePause / 4
-	}
-	return storePause
-}
-
-func (vm *VM) followOnce(ctx context.Context, prefix string, read func([]store.Item), change func(store.Change)) error {
-	items, revision, err := vm.Store.Range(ctx, prefix, false)
+// followOnce reads the prefix and follows it until the keeper tells of a change
+// that a watch has not shown, or a call fails.
+func (vm *VM) followOnce(ctx context.Context, feed *feed, answered func()) error {
+	items, revision, err := vm.Store.Range(ctx, feed.prefix, false)
 	if err != nil {
 		return err
 	}
-	read(items)
+	answered()
+	vm.doubtAfterGap(feed)
+	feed.read(items)
+	var changed uint64
+	for _, item := range items {
+		changed = max(changed, item.Revision)
+	}
+	feed.cover(changed, revision, vm.Clock.Now())
 	for {
-		changes, next, err := vm.Store.Follow(ctx, prefix, revision, followWait)
+		if !vm.awaitNeed(ctx, feed) {
+			return ctx.Err()
+		}
+		changes, next, err := vm.Store.Follow(ctx, feed.prefix, revision, vm.watchWait())
 		if err != nil {
 			return err
 		}
+		vm.doubtAfterGap(feed)
+		changed = 0
 		for _, one := range changes {
-			change(one)
+			feed.change(one)
+			changed = max(changed, one.Revision)
 		}
 		revision = max(revision, next)
+		feed.cover(changed, revision, vm.Clock.Now())
+	}
+}
+
+// doubtAfterGap doubts registrations that end while nobody has told how the store
+// is: it may have been down.
+func (vm *VM) doubtAfterGap(feed *feed) {
+	if now := vm.Clock.Now(); feed.isOlder(now, gapAge) {
+		vm.members.storeIsBack(now)
+	}
+}
+
+// awaitNeed waits until the VM has to watch the store itself: as the keeper, or
+// when the keeper's news are too old. It returns false when the prefix has to be
+// read at once.
+func (vm *VM) awaitNeed(ctx context.Context, feed *feed) bool {
+	for {
+		if feed.isBehind() {
+			return false
+		}
+		if vm.IsKeeper() || feed.isOlder(vm.Clock.Now(), feed.maxAge) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-vm.Clock.After(feedLook):
+		}
+	}
+}
+
+func (vm *VM) watchWait() time.Duration {
+	if vm.IsKeeper() {
+		return keeperWait
+	}
+	return followWait
+}
+
+// tell and hear pass on how far the store is followed.
+func (vm *VM) tell() grants.News {
+	now := vm.Clock.Now()
+	revision, age := vm.duty.Told()
+	return grants.News{
+		Feeds:        []grants.Feed{vm.configFeed.tell(now), vm.memberFeed.tell(now)},
+		DutyRevision: revision, DutyAgeMS: age.Milliseconds(),
+	}
+}
+
+func (vm *VM) hear(news grants.News, from grants.Keeper, asked time.Time) {
+	for i, feed := range []*feed{vm.configFeed, vm.memberFeed} {
+		if i < len(news.Feeds) {
+			feed.hear(news.Feeds[i], asked)
+		}
 	}
+	now := vm.Clock.Now()
+	vm.vms.heard(news.VMs, now)
+	vm.duty.Heard(duty.Note{
+		Holder: from.VM, Token: from.Token, Revision: news.DutyRevision,
+		At: now.Add(-time.Duration(news.DutyAgeMS) * time.Millisecond),
+	})
 }
 
-func (vm *VM) followConfig(ctx context.Context) error {
+// storePause is shorter while the VM knows no configuration and serves nobody.
+func (vm *VM) storePause() time.Duration {
+	if vm.config.Load() == nil {
+		return storePause / 4
+	}
+	return storePause
+}
+
+// newConfigFeed follows the operators' configuration.
+func (vm *VM) newConfigFeed() *feed {
 	offer := func(item store.Item) {
 		if item.Key != vm.ConfigKey {
 			return
@@ -111,17 +255,19 @@
 			vm.rearrange()
 		}
 	}
-	read := func(items []store.Item) {
-		for _, item := range items {
-			offer(item)
-		}
-	}
-	change := func(change store.Change) {
-		if !change.IsRemoved {
-			offer(change.Item)
-		}
+	return &feed{
+		prefix: vm.ConfigKey, maxAge: configAge,
+		read: func(items []store.Item) {
+			for _, item := range items {
+				offer(item)
+			}
+		},
+		change: func(change store.Change) {
+			if !change.IsRemoved {
+				offer(change.Item)
+			}
+		},
 	}
-	return vm.follow(ctx, vm.ConfigKey, read, change)
 }
 
 // members are the registrations as the store has them.
@@ -152,7 +298,8 @@
 	return now.Sub(members.backAt) >= settles
 }
 
-func (vm *VM) followMembers(ctx context.Context) error {
+// newMemberFeed follows the registrations of databases.
+func (vm *VM) newMemberFeed() *feed {
 	read := func(items []store.Item) {
 		vm.members.mu.Lock()
 		found := make(map[string]bool, len(items))
@@ -178,7 +325,7 @@
 		vm.members.mu.Unlock()
 		vm.rearrange()
 	}
-	return vm.follow(ctx, vm.MemberPrefix, read, change)
+	return &feed{prefix: vm.MemberPrefix, maxAge: memberAge, read: read, change: change}
 }
 
 // register takes a registration. One that can't be read names no database.
@@ -265,13 +412,23 @@
 type vms struct {
 	mu    sync.Mutex
 	lines map[string]line
+	// told is how many a keeper told of, at toldAt.
+	told   int
+	toldAt time.Time
+	// writtenAt is when the VM's own line was last written, firstAt first.
+	writtenAt, firstAt time.Time
+}
+
+// vmLine is a VM's line in the store.
+type vmLine struct {
+	Zone    string `json:"zone"`
+	HasLeft bool   `json:"hasLeft,omitempty"`
 }
 
 type line struct {
 	revision uint64
-	// firstAt is when the VM was first seen, seenAt when its line last changed.
-	firstAt time.Time
-	seenAt  time.Time
+	// seenAt is when the line last changed.
+	seenAt time.Time
 }
 
 // names returns the VMs known.
@@ -285,21 +442,39 @@
 	return names
 }
 
-// isKnownSince reports whether a VM's line has stood since a time.
-func (vms *vms) isKnownSince(vm string, since time.Time) bool {
+// mayProve reports whether keepers count with this VM, so that replicas' reports
+// may stand for a grant.
+func (vms *vms) mayProve(now time.Time) bool {
 	vms.mu.Lock()
 	defer vms.mu.Unlock()
-	known, ok := vms.lines[vmPrefix+vm]
-	return ok && known.firstAt.Before(since)
+	return !vms.firstAt.IsZero() && now.Sub(vms.firstAt) > knownFor && now.Sub(vms.writtenAt) < provesFor
+}
+
+func (vms *vms) wrote(at time.Time) {
+	vms.mu.Lock()
+	defer vms.mu.Unlock()
+	if at.Sub(vms.writtenAt) > vmLapses {
+		vms.firstAt = at
+	}
+	vms.writtenAt = at
 }
 
 // count returns how many VMs are there as far as known.
-func (vms *vms) count() int {
+func (vms *vms) count(now time.Time) int {
 	vms.mu.Lock()
 	defer vms.mu.Unlock()
+	if vms.told > 0 && now.Sub(vms.toldAt) < vmsEvery {
+		return vms.told
+	}
 	return len(vms.lines)
 }
 
+func (vms *vms) heard(count int, now time.Time) {
+	vms.mu.Lock()
+	defer vms.mu.Unlock()
+	vms.told, vms.toldAt = count, now
+}
+
 func (vms *vms) saw(items []store.Item, now time.Time) {
 	vms.mu.Lock()
 	defer vms.mu.Unlock()
@@ -307,12 +482,11 @@
 	for _, item := range items {
 		known, ok := vms.lines[item.Key]
 		if !ok || known.revision != item.Revision {
-			if !ok {
-				known.firstAt = now
-			}
-			known.revision, known.seenAt = item.Revision, now
+			known = line{revision: item.Revision, seenAt: now}
 		}
-		if now.Sub(known.seenAt) <= vmLapses || len(items) == 1 {
+		var text vmLine
+		hasLeft := json.Unmarshal(item.Value, &text) == nil && text.HasLeft
+		if !hasLeft && now.Sub(known.seenAt) <= vmLapses {
 			next[item.Key] = known
 		}
 	}
@@ -321,24 +495,21 @@
 
 // followVMs writes the VM's own line now and then and reads all.
 func (vm *VM) followVMs(ctx context.Context) error {
-	value, err := json.Marshal(struct {
-		Zone    string `json:"zone"`
-		Address string `json:"address"`
-	}{vm.Zone, vm.Address})
+	value, err := json.Marshal(vmLine{Zone: vm.Zone})
 	if err != nil {
 		return err
 	}
-	key := vmPrefix + vm.id()
 	var own store.Item
-	var writtenAt time.Time
+	var next time.Time
 	for {
-		if now := vm.Clock.Now(); writtenAt.IsZero() || now.Sub(writtenAt) > vmLapses/2 {
-			item, err := vm.Store.Swap(ctx, key, value, own.Revision)
+		if now := vm.Clock.Now(); !now.Before(next) {
+			item, err := vm.Store.Swap(ctx, vmPrefix+vm.id(), value, own.Revision)
 			if err == nil || errors.Is(err, store.ErrConflict) {
 				own = item
 			}
 			if err == nil {
-				writtenAt = now
+				vm.vms.wrote(now)
+				next = now.Add(lineEvery)
 			}
 		}
 		if items, _, err := vm.Store.Range(ctx, vmPrefix, true); err == nil {
@@ -346,8 +517,22 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return vm.leaveList(own.Revision)
 		case <-vm.Clock.After(vmsEvery):
 		}
 	}
 }
+
+// leaveList tells the others that the VM has ended.
+func (vm *VM) leaveList(revision uint64) error {
+	value, err := json.Marshal(vmLine{Zone: vm.Zone, HasLeft: true})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if _, err := vm.Store.Swap(ctx, vmPrefix+vm.id(), value, revision); err != nil {
+		vm.Log.Write(event.StoreFailing, event.Fields{"prefix": vmPrefix, "error": err.Error()})
+	}
+	return nil
+}
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -79,7 +79,7 @@
 	for {
 		now := vm.Clock.Now()
 		_, isKeeper := vm.duty.Holds(0)
-		group.AllowProof(vm.vms.isKnownSince(vm.id(), now.Add(-knownFor)))
+		group.AllowProof(vm.vms.mayProve(now))
 		for id, need := range group.Needs(isKeeper, now) {
 			if need == dbset.NoNeed || now.Sub(asked[id]) < pause(need) || isRunning(busy[id]) {
 				continue
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -73,6 +73,8 @@
 	members members
 	vms     vms
 
+	configFeed, memberFeed *feed
+
 	mu         sync.Mutex
 	groups     map[string]*running
 	isReady    bool
@@ -102,16 +104,18 @@
 	}
 	vm.grants = &grants.Agent{
 		Conn: vm.Peers, VM: vm.id(), Port: vm.PeerPort, Duty: vm.duty, Clock: vm.Clock, Log: vm.Log,
-		Groups: vm.allGroups, Peers: vm.vms.names,
+		Groups: vm.allGroups, Peers: vm.vms.names, Tell: vm.tell, Hear: vm.hear,
 	}
+	vm.duty.HeardAt = vm.grants.HeardAt
 	vm.groups = make(map[string]*running)
+	vm.configFeed, vm.memberFeed = vm.newConfigFeed(), vm.newMemberFeed()
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	ended := make(chan error, 1)
 	go func() {
 		ended <- kernel.Run(background,
-			kernel.DutyFunc(vm.followConfig),
-			kernel.DutyFunc(vm.followMembers),
+			kernel.DutyFunc(func(ctx context.Context) error { return vm.follow(ctx, vm.configFeed) }),
+			kernel.DutyFunc(func(ctx context.Context) error { return vm.follow(ctx, vm.memberFeed) }),
 			kernel.DutyFunc(vm.followVMs),
 			kernel.DutyFunc(vm.sweepMembers),
 			vm.grants,
@@ -190,7 +194,7 @@
 	if current := vm.config.Load(); current != nil {
 		limit = current.Upstreams[group].MaxConnections
 	}
-	return max(1, (limit-limit/reserve)*borrow/max(vm.vms.count(), borrow))
+	return max(1, (limit-limit/reserve)*borrow/max(vm.vms.count(vm.Clock.Now()), borrow))
 }
 
 // accept takes callers until the process ends.
