Share few slots among many VMs, and believe no news of an unread store

Now idle connections go sooner where a VM's share is small, warm databases are preferred, a limit below one pauses between requests, and what other VMs hear of a primary counts before it is called silent. Found by TestLapsedRegistration (3 of 60 runs): a keeper that had read nothing yet told of an age that overflowed, so that others believed that they knew the newest; and the stand-in store skipped changes that came as a watch ended. Both mended; 400 runs of the test pass.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -17,23 +17,27 @@
 )
 
 const (
-	// leastLimit is the least work that a VM gives a database at a time.
-	leastLimit = 2
+	// leastLimit is the least work that a VM gives a database at a time. Below one,
+	// the VM pauses between two requests: many VMs share few slots.
+	leastLimit = 0.1
 	// firstLimit is what it begins with.
 	firstLimit = 4
 	// adjustEvery is how often the limit changes.
 	adjustEvery = 100 * time.Millisecond
 	// decrease is the factor of the limit while answers are slow.
 	decrease = 0.85
-	// slowFactor times the usual latency, and slowMargin more, is slow.
+	// slowFactor times the usual latency, and slowMargin more, is slow;
+	// veryFactor times, and veryMargin more, is so slow that the VM pauses.
 	slowFactor = 2
-	slowMargin = 5 * time.Millisecond
+	slowMargin = 10 * time.Millisecond
+	veryFactor = 4
+	veryMargin = 30 * time.Millisecond
 	// fastFactor times the usual latency leaves room for more.
 	fastFactor = 1.5
-	// latencyWeight is that of the past in the moving average, usualWeight in the
-	// slow rise of the usual latency.
+	// latencyWeight is that of the past in the moving average.
 	latencyWeight = 16
-	usualWeight   = 500
+	// usualRise is how long the usual latency takes to follow a lasting rise.
+	usualRise = 20 * time.Second
 	// standsFor is how long a queue must not have been empty to be a standing one.
 	standsFor = 300 * time.Millisecond
 )
@@ -55,9 +59,12 @@
 	limit    float64
 	latency  time.Duration
 	usual    time.Duration
+	observed time.Time
 	adjusted time.Time
 	queue    []waiting[T]
 	stands   time.Time
+	// pausedUntil is when a limit below one lets the next request through.
+	pausedUntil time.Time
 }
 
 type waiting[T comparable] struct {
@@ -66,11 +73,11 @@
 }
 
 // Limit is how much work the database gets at a time.
-func (gate *Gate[T]) Limit() int {
+func (gate *Gate[T]) Limit() float64 {
 	if gate.limit == 0 {
 		return firstLimit
 	}
-	return int(gate.limit)
+	return gate.limit
 }
 
 // InUse is how much it has; Waiting is how much waits.
@@ -80,35 +87,66 @@
 func (gate *Gate[T]) Waiting() int { return len(gate.queue) }
 
 // HasRoom reports whether more work may go to the database.
-func (gate *Gate[T]) HasRoom() bool { return gate.inUse < gate.Limit() }
+func (gate *Gate[T]) HasRoom(now time.Time) bool {
+	if gate.Limit() < 1 {
+		return gate.inUse == 0 && !now.Before(gate.pausedUntil)
+	}
+	return gate.inUse < int(gate.Limit())
+}
+
+// Pause is how long HasRoom stays false though nothing is in use; zero if that
+// depends on the work in use.
+func (gate *Gate[T]) Pause(now time.Time) time.Duration {
+	if gate.inUse > 0 || gate.Limit() >= 1 || !now.Before(gate.pausedUntil) {
+		return 0
+	}
+	return gate.pausedUntil.Sub(now)
+}
 
 // Enter takes a place; Leave gives it back.
 func (gate *Gate[T]) Enter() { gate.inUse++ }
 
 // Leave gives a place back.
-func (gate *Gate[T]) Leave() { gate.inUse-- }
+func (gate *Gate[T]) Leave(now time.Time) {
+	gate.inUse--
+	if limit := gate.Limit(); limit < 1 {
+		gate.pausedUntil = now.Add(time.Duration(float64(gate.latency) * (1/limit - 1)))
+	}
+}
+
+// Overload learns that the database refused work for lack of room.
+func (gate *Gate[T]) Overload(now time.Time) {
+	if now.Sub(gate.adjusted) >= adjustEvery {
+		gate.adjusted = now
+		gate.limit = max(leastLimit, gate.Limit()*decrease)
+	}
+}
 
 // Observe learns from the latency of an answer: additive increase of the limit,
 // multiplicative decrease (Chiu and Jain, 1989).
 func (gate *Gate[T]) Observe(latency time.Duration, now time.Time) {
 	if gate.usual == 0 {
-		gate.latency, gate.usual, gate.limit = latency, latency, firstLimit
+		gate.latency, gate.usual, gate.limit, gate.observed = latency, latency, firstLimit, now
 	}
 	gate.latency += (latency - gate.latency) / latencyWeight
 	if gate.latency < gate.usual {
 		gate.usual = gate.latency
 	} else {
-		gate.usual += (gate.latency - gate.usual) / usualWeight
+		passed := min(now.Sub(gate.observed), time.Second)
+		gate.usual += time.Duration(float64(gate.latency-gate.usual) * float64(passed) / float64(usualRise))
 	}
+	gate.observed = now
 	if now.Sub(gate.adjusted) < adjustEvery {
 		return
 	}
 	gate.adjusted = now
 	switch {
-	case gate.latency > slowFactor*gate.usual+slowMargin:
+	case gate.latency > veryFactor*gate.usual+veryMargin:
 		gate.limit = max(leastLimit, gate.limit*decrease)
-	case float64(gate.latency) < fastFactor*float64(gate.usual)+float64(slowMargin) && gate.inUse+1 >= gate.Limit():
-		gate.limit++
+	case gate.latency > slowFactor*gate.usual+slowMargin:
+		gate.limit = max(min(1, gate.limit), gate.limit*decrease)
+	case float64(gate.latency) < fastFactor*float64(gate.usual)+float64(slowMargin) && float64(gate.inUse+1) >= gate.Limit():
+		gate.limit += min(1, gate.limit/2)
 	}
 }
 
@@ -137,7 +175,11 @@
 
 // expected is how long a request waits that has so many ahead of it.
 func (gate *Gate[T]) expected(ahead int) time.Duration {
-	return gate.latency * time.Duration(ahead) / time.Duration(max(min(gate.inUse, gate.Limit()), 1))
+	limit := gate.Limit()
+	if limit >= 1 {
+		limit = min(limit, float64(max(gate.inUse, 1)))
+	}
+	return time.Duration(float64(gate.latency) * float64(ahead) / limit)
 }
 
 func (gate *Gate[T]) patience(want Want, now time.Time) time.Duration {
--- a/conset/conset.go
+++ b/conset/conset.go
@@ -46,6 +46,10 @@
 	// connections leave room for VMs that come back while their old connections
 	// still count.
 	idleFor = 1 * time.Second
+	// scarceIdleFor holds for all connections where the VM's share is less than
+	// plenty: with many VMs, one idle connection of each would fill a database.
+	scarceIdleFor = 400 * time.Millisecond
+	plenty        = 4
 )
 
 // errAgain says that the way to a connection has changed.
@@ -115,7 +119,7 @@
 		return nil, ErrClosed
 	}
 	now := pool.Clock.Now()
-	if link := pool.takeIdle(fit); link != nil {
+	if link := pool.takeIdle(fit, now); link != nil {
 		pool.mu.Unlock()
 		return link, nil
 	}
@@ -133,6 +137,9 @@
 	if pool.isFull && now.Before(pool.tryAt) {
 		wait = min(wait, pool.tryAt.Sub(now))
 	}
+	if pause := pool.gate.Pause(now); pause > 0 {
+		wait = min(wait, pause)
+	}
 	pool.mu.Unlock()
 	link, err := pool.await(waits, wait, want.Patience)
 	if errors.Is(err, ErrNoRoom) && wait < want.Patience {
@@ -145,7 +152,7 @@
 // at a time, since each takes one of the database's slots, and one by one while
 // the database says that it has too many.
 func (pool *Pool) mayOpen(now time.Time) bool {
-	return pool.gate.HasRoom() && pool.open < max(pool.Limit(), 1) && pool.dialing < maxDialing &&
+	return pool.gate.HasRoom(now) && pool.open < max(pool.Limit(), 1) && pool.dialing < maxDialing &&
 		(!pool.isFull || !now.Before(pool.tryAt))
 }
 
@@ -163,8 +170,8 @@
 	for !pool.closed && pool.gate.Waiting() > 0 {
 		var link *Link
 		switch {
-		case len(pool.idle) > 0 && pool.gate.HasRoom():
-			link = pool.takeIdle(nil)
+		case len(pool.idle) > 0 && pool.gate.HasRoom(now):
+			link = pool.takeIdle(nil, now)
 		case pool.mayOpen(now):
 			pool.reserve(now)
 		default:
@@ -177,9 +184,9 @@
 }
 
 // takeIdle takes the idle connection that fits best, if the database has room.
-func (pool *Pool) takeIdle(fit func(*Link) int) *Link {
+func (pool *Pool) takeIdle(fit func(*Link) int, now time.Time) *Link {
 	last := len(pool.idle) - 1
-	if last < 0 || !pool.gate.HasRoom() {
+	if last < 0 || !pool.gate.HasRoom(now) {
 		return nil
 	}
 	best := last
@@ -255,7 +262,7 @@
 	pool.dialing--
 	if !isOpen {
 		pool.open--
-		pool.gate.Leave()
+		pool.gate.Leave(now)
 	}
 	if isFull {
 		pool.isFull, pool.tryAt = true, now.Add(fullPause)
@@ -284,7 +291,7 @@
 // release ends the link's claim on the database's room.
 func (pool *Pool) release(link *Link) {
 	if !link.isResting {
-		pool.gate.Leave()
+		pool.gate.Leave(pool.Clock.Now())
 	}
 	link.isResting = false
 }
@@ -316,11 +323,11 @@
 	}
 }
 
-// trim closes connections that have not been used since a time, but one.
-func (pool *Pool) trim(since time.Time) {
+// trim closes connections that have not been used since a time, but some.
+func (pool *Pool) trim(since time.Time, keep int) {
 	pool.mu.Lock()
 	var old []*Link
-	for len(pool.idle) > 0 && pool.open > 1 && pool.idle[0].usedAt.Before(since) {
+	for len(pool.idle) > 0 && pool.open > keep && pool.idle[0].usedAt.Before(since) {
 		old = append(old, pool.idle[0])
 		pool.idle = slices.Delete(pool.idle, 0, 1)
 		pool.open--
@@ -337,9 +344,10 @@
 	link.pool.mu.Lock()
 	defer link.pool.mu.Unlock()
 	if !link.isResting {
+		now := link.pool.Clock.Now()
 		link.isResting = true
-		link.pool.gate.Leave()
-		link.pool.grow(link.pool.Clock.Now())
+		link.pool.gate.Leave(now)
+		link.pool.grow(now)
 	}
 }
 
@@ -354,6 +362,13 @@
 	}
 }
 
+// Overload learns that the database had no room.
+func (link *Link) Overload() {
+	link.pool.mu.Lock()
+	defer link.pool.mu.Unlock()
+	link.pool.gate.Overload(link.pool.Clock.Now())
+}
+
 // Observe learns from the latency of an answer.
 func (link *Link) Observe(latency time.Duration) {
 	link.pool.mu.Lock()
@@ -410,12 +425,27 @@
 
 // Trim closes connections that nothing has used for a while.
 func (set *Set) Trim() {
-	since := set.Clock.Now().Add(-idleFor)
+	now := set.Clock.Now()
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	for _, pool := range set.pools {
-		pool.trim(since)
+		if pool.Limit() >= plenty {
+			pool.trim(now.Add(-idleFor), 1)
+		} else {
+			pool.trim(now.Add(-scarceIdleFor), 0)
+		}
+	}
+}
+
+// IsWarm reports whether there is an idle connection to a database.
+func (set *Set) IsWarm(id string) bool {
+	pool := set.Pool(id)
+	if pool == nil {
+		return false
 	}
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return len(pool.idle) > 0
 }
 
 // Close closes all pools.
@@ -433,7 +463,7 @@
 			continue
 		}
 		pool.mu.Lock()
-		parts = append(parts, fmt.Sprintf("%s=%d/%d/%d/%d", id, pool.open, len(pool.idle), pool.gate.Limit(), pool.gate.Waiting()))
+		parts = append(parts, fmt.Sprintf("%s=%d/%d/%.1f/%d", id, pool.open, len(pool.idle), pool.gate.Limit(), pool.gate.Waiting()))
 		pool.mu.Unlock()
 	}
 	slices.Sort(parts)
--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -156,5 +156,8 @@
 	if member.Zone != group.Zone {
 		cost += farPenalty
 	}
+	if group.IsWarm != nil && !group.IsWarm(member.ID) {
+		cost += openCost
+	}
 	return cost
 }
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -47,6 +47,8 @@
 	farPenalty = 6 * time.Millisecond
 	// primaryPenalty keeps reads away from the database that alone takes writes.
 	primaryPenalty = 25 * time.Millisecond
+	// openCost is the time that it takes to open a connection.
+	openCost = 15 * time.Millisecond
 	// avoidFor is how long a database is avoided after a failed request.
 	avoidFor = 500 * time.Millisecond
 	// relearnLag is how often one read tries a replica that was far behind.
@@ -113,6 +115,9 @@
 	Name string
 	// Zone is the VM's own availability zone.
 	Zone string
+	// IsWarm reports whether the VM has an idle connection to a database; nil
+	// stands for always.
+	IsWarm func(id string) bool
 
 	mu           sync.Mutex
 	members      map[string]*member
@@ -533,21 +538,37 @@
 	return ok
 }
 
-// CutFrom returns the primary if this VM can't reach it, though it reaches
-// another database of the group.
-func (group *Group) CutFrom(now time.Time) (string, bool) {
+// View is how a VM sees a group's primary.
+type View struct {
+	Primary string
+	// HeardAt is when the primary last answered.
+	HeardAt time.Time
+	// IsCut says that the VM can't reach it, though it reaches another database
+	// of the group.
+	IsCut bool
+}
+
+// View returns how this VM sees the primary.
+func (group *Group) View(now time.Time) View {
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	leads, ok := group.members[group.primary]
-	if !ok || leads.failures < 2 || now.Sub(leads.failingSince) < cutAfter {
-		return "", false
+	if !ok {
+		return View{}
+	}
+	return View{Primary: leads.ID, HeardAt: leads.heardAt, IsCut: group.isCut(leads, now)}
+}
+
+func (group *Group) isCut(leads *member, now time.Time) bool {
+	if leads.failures < 2 || now.Sub(leads.failingSince) < cutAfter {
+		return false
 	}
 	for _, other := range group.members {
 		if other != leads && other.failures == 0 && now.Sub(other.heardAt) < cutAfter {
-			return leads.ID, true
+			return true
 		}
 	}
-	return "", false
+	return false
 }
 
 // Need says how urgently a database should be asked for its report.
--- a/engine/single.go
+++ b/engine/single.go
@@ -161,8 +161,11 @@
 	}
 	now := clock.Now()
 	attempt.group.Done(id, answer.Position, began, now)
-	if answer.Code == wires.OK {
+	switch answer.Code {
+	case wires.OK:
 		link.Observe(now.Sub(began))
+	case wires.Busy:
+		link.Overload()
 	}
 	return answer, nil
 }
--- a/fakekv/tree.go
+++ b/fakekv/tree.go
@@ -149,7 +149,7 @@
 			return nil, 0, errors.Mark(errors.New("watch was silent"), store.ErrUncertain)
 		}
 		if isOver {
-			return nil, tree.revision, ctx.Err()
+			return tree.after(prefix, after), tree.revision, ctx.Err()
 		}
 	}
 }
--- a/grants/grants.go
+++ b/grants/grants.go
@@ -26,6 +26,7 @@
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/promo"
 )
 
 const (
@@ -60,6 +61,8 @@
 	Start    posn.Position
 	Position posn.Position
 	AgeMS    int64
+	// IsCut says that the asking VM can't reach the primary.
+	IsCut bool
 }
 
 // message is a datagram.
@@ -71,8 +74,8 @@
 	Token uint64
 	// News is what a keeper has heard from the store.
 	News News
-	// Notes has the granted groups, the group to revoke, or the groups whose
-	// primary the asking VM can't reach.
+	// Notes has the granted groups, the group to revoke, or how the asking VM sees
+	// the primaries: AgeMS is then how long ago each answered.
 	Notes []note
 }
 
@@ -143,8 +146,8 @@
 
 // view is what another VM last said.
 type view struct {
-	at  time.Time
-	cut map[string]string
+	at     time.Time
+	groups map[string]dbset.View
 }
 
 type revocation struct {
@@ -191,15 +194,19 @@
 	if holder == "" {
 		return
 	}
-	var cut []note
+	var views []note
+	now := agent.Clock.Now()
 	for _, group := range agent.Groups() {
-		if id, ok := group.CutFrom(agent.Clock.Now()); ok {
-			cut = append(cut, note{Group: group.Name, Primary: id})
+		if view := group.View(now); view.Primary != "" {
+			views = append(views, note{
+				Group: group.Name, Primary: view.Primary,
+				AgeMS: ceilMS(now.Sub(view.HeardAt)), IsCut: view.IsCut,
+			})
 		}
 	}
 	agent.mu.Lock()
 	agent.seq++
-	question := message{Kind: kindAsk, From: agent.VM, Seq: agent.seq, Notes: cut}
+	question := message{Kind: kindAsk, From: agent.VM, Seq: agent.seq, Notes: views}
 	agent.askedAt, agent.answered = agent.Clock.Now(), false
 	agent.mu.Unlock()
 	agent.send(holder, question)
@@ -260,9 +267,12 @@
 	reply := message{Kind: kindGrant, From: agent.VM, Seq: question.Seq, Token: token}
 	agent.mu.Lock()
 	agent.takeToken(token, now)
-	seen := view{at: now, cut: make(map[string]string, len(question.Notes))}
+	seen := view{at: now, groups: make(map[string]dbset.View, len(question.Notes))}
 	for _, note := range question.Notes {
-		seen.cut[note.Group] = note.Primary
+		seen.groups[note.Group] = dbset.View{
+			Primary: note.Primary, IsCut: note.IsCut,
+			HeardAt: now.Add(-time.Duration(note.AgeMS) * time.Millisecond),
+		}
 	}
 	agent.views[question.From] = seen
 	for _, group := range agent.Groups() {
@@ -371,25 +381,33 @@
 	}
 }
 
-// CutShare returns the share of VMs that can't reach a group's primary.
-func (agent *Agent) CutShare(group, primary string) float64 {
+// Others returns how the VMs that ask see a group's primary.
+func (agent *Agent) Others(group, primary string) promo.Others {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	now := agent.Clock.Now()
+	var others promo.Others
 	var heard, cut int
 	for _, seen := range agent.views {
 		if now.Sub(seen.at) > dbset.GrantFor {
 			continue
 		}
 		heard++
-		if seen.cut[group] == primary {
+		view := seen.groups[group]
+		if view.Primary != primary {
+			continue
+		}
+		if view.IsCut {
 			cut++
 		}
+		if view.HeardAt.After(others.HeardAt) {
+			others.HeardAt = view.HeardAt
+		}
 	}
-	if heard == 0 {
-		return 0
+	if heard > 0 {
+		others.CutShare = float64(cut) / float64(heard)
 	}
-	return float64(cut) / float64(heard)
+	return others
 }
 
 // Freeze stops granting a group and returns when no VM has a grant any more;
--- a/promo/due.go
+++ b/promo/due.go
@@ -24,9 +24,8 @@
 const cutShare = 0.3
 
 // Due decides whether the group's primary has to be replaced (rules 10 and 18).
-// noneSince is when the group was first seen without one, cut the share of VMs
-// that can't reach it.
-func Due(state dbset.State, cut float64, noneSince, now time.Time) Cause {
+// noneSince is when the group was first seen without one.
+func Due(state dbset.State, others Others, noneSince, now time.Time) Cause {
 	cause := NotDue
 	switch primary, ok := find(state, state.Primary); {
 	case !ok:
@@ -35,9 +34,9 @@
 		}
 	case primary.Leaving:
 		cause = Leaving
-	case isSilent(primary, now):
+	case isSilent(primary, others, now):
 		cause = Silent
-	case cut >= cutShare:
+	case others.CutShare >= cutShare:
 		cause = Cut
 	}
 	if cause != NotDue && !hasCandidate(state) {
@@ -46,11 +45,15 @@
 	return cause
 }
 
-func isSilent(member dbset.MemberState, now time.Time) bool {
+// isSilent reports whether a primary has stopped. A keeper may fail to reach one
+// that is merely full, so what other VMs hear counts too; a refused connection
+// needs no other witness.
+func isSilent(member dbset.MemberState, others Others, now time.Time) bool {
 	if member.Refusals >= leastFailures && now.Sub(member.FailingSince) >= refusesFor {
 		return true
 	}
-	return member.Failures >= leastFailures && now.Sub(member.HeardAt) >= failsFor
+	return member.Failures >= leastFailures &&
+		now.Sub(member.HeardAt) >= failsFor && now.Sub(others.HeardAt) >= failsFor
 }
 
 // isAllKnown reports whether every database has told its role, or failed, since a
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -52,8 +52,16 @@
 	// confirmed it.
 	Freeze(ctx context.Context, group string) bool
 	Thaw(group string)
-	// CutShare is the share of VMs that can't reach the group's primary.
-	CutShare(group, primary string) float64
+	// Others is how other VMs see the group's primary.
+	Others(group, primary string) Others
+}
+
+// Others is how other VMs see a group's primary.
+type Others struct {
+	// CutShare is the share of VMs that can't reach it.
+	CutShare float64
+	// HeardAt is when it last answered one of them.
+	HeardAt time.Time
 }
 
 const (
@@ -122,7 +130,7 @@
 	} else if keeper.noneSince.IsZero() {
 		keeper.noneSince = now
 	}
-	cause := Due(state, keeper.Grants.CutShare(keeper.Group.Name, state.Primary), keeper.noneSince, now)
+	cause := Due(state, keeper.Grants.Others(keeper.Group.Name, state.Primary), keeper.noneSince, now)
 	if cause == NotDue {
 		keeper.unsealLeftovers(state)
 		return lookEvery
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -30,6 +30,8 @@
 	// gapAge is how old the knowledge must be for the store to have been down
 	// meanwhile: longer than a watch.
 	gapAge = 2200 * time.Millisecond
+	// unknownAge stands for that of a prefix which was never read.
+	unknownAge = time.Hour
 	// feedLook is how often a VM that goes by its keeper's news looks at them.
 	feedLook = 100 * time.Millisecond
 	// storePause is the pause after a call of the store that failed. The
@@ -54,7 +56,7 @@
 	settles = 2300 * time.Millisecond
 	// sweepEvery is how often databases that are gone, and idle connections, are
 	// dropped.
-	sweepEvery = 500 * time.Millisecond
+	sweepEvery = 200 * time.Millisecond
 	// vmPrefix is where VMs write their lines.
 	vmPrefix = "bramley/vms/"
 )
@@ -88,7 +90,8 @@
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
 	feed.hinted = max(feed.hinted, news.Changed)
-	if asOf := asked.Add(-time.Duration(news.AgeMS) * time.Millisecond); feed.hinted <= feed.covered && asOf.After(feed.asOf) {
+	age := max(time.Duration(news.AgeMS)*time.Millisecond, 0)
+	if asOf := asked.Add(-age); feed.hinted <= feed.covered && asOf.After(feed.asOf) {
 		feed.asOf = asOf
 	}
 }
@@ -96,7 +99,8 @@
 func (feed *feed) tell(now time.Time) grants.Feed {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	return grants.Feed{Changed: feed.changed, AgeMS: now.Sub(feed.asOf).Milliseconds() + 1}
+	age := min(now.Sub(feed.asOf), unknownAge)
+	return grants.Feed{Changed: feed.changed, AgeMS: age.Milliseconds() + 1}
 }
 
 // isBehind reports whether the keeper told of a change that is not known yet.
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -57,6 +57,7 @@
 func (vm *VM) start(name string) *running {
 	ctx, stop := context.WithCancel(context.Background())
 	group := dbset.New(name, vm.Zone)
+	group.IsWarm = vm.links.IsWarm
 	keeper := &promo.Keeper{
 		Group: group, Links: vm.links, Orders: vm.Orders, Duty: vm.duty, Grants: vm.grants,
 		Holder: vm.Name, Clock: vm.Clock, Log: vm.Log,
