Explain a request from logs: bounded ring, rates, dispatch states, metrics, explain

One line a decision on standard output through a ring that drops and counts; 40 lines an event and second, and a line that says how many were left out. Counters and latencies as text on the deploy file's metrics port. bramleydoor explain ID FILE... prints a request's attempts, what its VM believed, and the events around it.

--- a/cliapp/cliapp.go
+++ b/cliapp/cliapp.go
@@ -62,6 +62,7 @@
 			ticketCommand(),
 			statusCommand(),
 			eventsCommand(),
+			explainCommand(),
 			demoCommand(),
 			loadCommand(),
 			replayCommand(),
--- a/engine/session.go
+++ b/engine/session.go
@@ -64,7 +64,9 @@
 		case err != nil:
 			return
 		}
+		began := session.engine.now()
 		answer := session.take(call)
+		session.engine.Stats.Answered(kindOf(call.Statement), answer.Code.String(), session.engine.now().Sub(began))
 		answer.State = session.state()
 		if session.front.Reply(answer) != nil {
 			return
@@ -221,10 +223,17 @@
 
 // refuse counts and logs a refusal.
 func (session *Session) refuse(call wires.Call, code wires.Code, reason string) wires.Answer {
+	return session.refuseAfter(nil, call, code, reason)
+}
+
+// refuseAfter does so for a request that may have been tried.
+func (session *Session) refuseAfter(attempt *attempt, call wires.Call, code wires.Code, reason string) wires.Answer {
 	session.engine.Stats.Refusals.Add(reason, 1)
-	session.engine.Log.Write(event.RequestRefused, event.Fields{
-		"request": call.ID, "database": session.database, "code": code.String(), "reason": reason,
-	})
+	fields := event.Fields{"request": call.ID, "database": session.database, "code": code.String(), "reason": reason}
+	if attempt != nil {
+		fields["attempt"], fields["afterMs"] = attempt.tries, attempt.after()
+	}
+	session.engine.Log.Write(event.RequestRefused, fields)
 	text := reason
 	if code == wires.Busy {
 		text += " retryAfterMs=" + retryAfterText
@@ -242,3 +251,18 @@
 func (session *Session) valuesFit(values map[string]string) bool {
 	return maps.Equal(session.values, values)
 }
+
+// kindOf names a statement's kind for the latency histograms.
+func kindOf(statement wires.Statement) string {
+	switch statement.(type) {
+	case wires.Read:
+		return "read"
+	case wires.Write:
+		return "write"
+	case wires.Execute:
+		return "execute"
+	case wires.Commit:
+		return "commit"
+	}
+	return "other"
+}
--- a/engine/single.go
+++ b/engine/single.go
@@ -171,7 +171,7 @@
 }
 
 func (attempt *attempt) giveUp(reason string) wires.Answer {
-	return attempt.session.refuse(attempt.call, wires.Busy, reason)
+	return attempt.session.refuseAfter(attempt, attempt.call, wires.Busy, reason)
 }
 
 // blocked is why a request was not sent: reason, unless databases had no room.
@@ -182,10 +182,27 @@
 	return reason
 }
 
+// dispatchOf says what is known of an attempt that failed for a reason.
+func dispatchOf(reason string) string {
+	switch reason {
+	case "noRoom", "connectFailed", "otherDatabase", "connectionLost", "noLongerLeads":
+		return "notDispatched"
+	case "answerLost":
+		return "unknown"
+	}
+	return "known"
+}
+
+// after is how long the request has taken so far, in ms.
+func (attempt *attempt) after() int64 {
+	return attempt.session.engine.now().Sub(attempt.arrived).Milliseconds()
+}
+
 func (attempt *attempt) retried(member dbset.Member, reason string) {
 	attempt.session.engine.Stats.Retries.Add(reason, 1)
 	attempt.session.engine.Log.Write(event.RequestRetried, event.Fields{
-		"request": attempt.call.ID, "slot": member.ID, "reason": reason, "attempt": attempt.tries,
+		"request": attempt.call.ID, "group": attempt.group.Name, "slot": member.ID, "reason": reason,
+		"dispatch": dispatchOf(reason), "attempt": attempt.tries, "afterMs": attempt.after(),
 	})
 }
 
@@ -309,7 +326,7 @@
 	answer, err := attempt.ask(link, attempt.session.request(attempt.call, posn.Position{}), max(attempt.remaining(), leastAttempt))
 	if err != nil {
 		link.Discard()
-		return attempt.inDoubt("answerLost"), ""
+		return attempt.inDoubt(leads.ID, "answerLost"), ""
 	}
 	if answer.Code == wires.UnknownName {
 		clear(link.Shapes)
@@ -339,7 +356,7 @@
 			return answer
 		}
 		if now.After(until) || attempt.group.Term() != term {
-			return attempt.inDoubt("noLongerLeads")
+			return attempt.inDoubt(leads.ID, "noLongerLeads")
 		}
 		select {
 		case <-changed:
@@ -348,10 +365,11 @@
 	}
 }
 
-func (attempt *attempt) inDoubt(reason string) wires.Answer {
+func (attempt *attempt) inDoubt(slot, reason string) wires.Answer {
 	attempt.session.engine.Stats.Refusals.Add("inDoubt", 1)
 	attempt.session.engine.Log.Write(event.UncertainOutcome, event.Fields{
-		"request": attempt.call.ID, "database": attempt.session.database, "reason": reason,
+		"request": attempt.call.ID, "database": attempt.session.database, "group": attempt.group.Name,
+		"slot": slot, "reason": reason, "term": attempt.group.Term(),
 	})
 	return wires.Answer{Code: wires.InDoubt, Text: reason}
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		link.Discard()
 		if tx.wrote {
-			return attempt.inDoubt("answerLost")
+			return attempt.inDoubt(link.Member.ID, "answerLost")
 		}
 		return session.refuse(call, wires.Aborted, "answerLost")
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -18,6 +20,9 @@
 	Stopping         ID = 1002
 	Stopped          ID = 1003
 	DutyEnded        ID = 1004
+	LinesLeftOut     ID = 1005
+	SettingsChanged  ID = 1006
+	SettingsRefused  ID = 1007
 	CallerRefused    ID = 2001
 	CallerBroke      ID = 2002
 	TokenIgnored     ID = 2003
@@ -32,7 +37,6 @@
 	SlotDropped      ID = 3006
 	DutyTaken        ID = 3007
 	DutyLost         ID = 3008
-	SlotsChanged     ID = 3009
 	ReplicaUnsealed  ID = 3010
 	GroupState       ID = 3011
 	ConfigApplied    ID = 4001
@@ -66,21 +70,23 @@
 	{Stopping, logrus.InfoLevel, "VM stopping", "A planned stop: callers are ended at their next request boundary.", []string{"reason"}, "0.1"},
 	{Stopped, logrus.InfoLevel, "VM stopped", "All duties have ended.", nil, "0.1"},
 	{DutyEnded, logrus.ErrorLevel, "Duty ended", "A duty ended with an error; the VM stops and should be replaced. Report the error.", []string{"error"}, "0.1"},
+	{LinesLeftOut, logrus.WarnLevel, "Lines left out", "There were more lines of an event in a second than are written; the counters have all of them.", []string{"of", "count"}, "0.2"},
+	{SettingsChanged, logrus.InfoLevel, "Settings read again", "The settings file was read at a signal. What differs from the start takes effect with the next start.", []string{"differs"}, "0.2"},
+	{SettingsRefused, logrus.ErrorLevel, "Settings refused", "The settings file has mistakes; the VM keeps those before.", []string{"error"}, "0.2"},
 	{CallerRefused, logrus.InfoLevel, "Caller refused", "A connection was refused. The counters tell how often, by reason.", []string{"reason", "remote"}, "0.1"},
 	{CallerBroke, logrus.InfoLevel, "Caller broke the protocol", "Malformed, oversized or slow input; only that caller was closed.", []string{"error", "remote"}, "0.1"},
 	{TokenIgnored, logrus.WarnLevel, "Session token ignored", "A forged, damaged or foreign token; the caller got a confirmed floor. Many of them after a key change mean that an old key was removed too early.", []string{"error", "database"}, "0.1"},
-	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"database", "reason", "error"}, "0.1"},
-	{RequestRefused, logrus.InfoLevel, "Request refused", "A request was given up. Unless the code is unknown or inDoubt, nothing of it is kept; the reason is a counter's name.", []string{"request", "database", "code", "reason"}, "0.2"},
-	{RequestRetried, logrus.InfoLevel, "Request retried", "A request that did not run, or a read, is sent again.", []string{"request", "slot", "reason", "attempt"}, "0.2"},
+	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"request", "database", "group", "slot", "reason", "term", "error"}, "0.1"},
+	{RequestRefused, logrus.InfoLevel, "Request refused", "A request was given up. Unless the code is unknown or inDoubt, nothing of it is kept; the reason is a counter's name.", []string{"request", "database", "code", "reason", "attempt", "afterMs"}, "0.2"},
+	{RequestRetried, logrus.InfoLevel, "Request retried", "A request that did not run, or a read, is sent again. Dispatch says whether the attempt was not sent (notDispatched), its fate is known, or unknown.", []string{"request", "group", "slot", "reason", "dispatch", "attempt", "afterMs"}, "0.2"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The keeper has not heard from the primary for longer than its delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
-	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term"}, "0.1"},
+	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term", "cause"}, "0.1"},
 	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "position", "sealed", "allRevoked", "sealMs", "revokeMs", "tookMs"}, "0.1"},
 	{PromotionFailed, logrus.ErrorLevel, "Promotion failed", "The attempt ended without a primary; it is repeated. If it goes on, look for slots that don't answer.", []string{"group", "term", "error"}, "0.1"},
 	{PromotionUseless, logrus.ErrorLevel, "Promotion not begun", "No majority of slots answers, so a promotion would not help. Bring slots back.", []string{"group", "answering", "slots"}, "0.1"},
 	{SlotDropped, logrus.WarnLevel, "Slot dropped", "Connections to a slot that does not answer were closed.", []string{"group", "slot", "connections"}, "0.1"},
 	{DutyTaken, logrus.InfoLevel, "Duty taken", "This VM orders promotions, with a new fencing token.", []string{"token"}, "0.2"},
 	{DutyLost, logrus.WarnLevel, "Duty lost", "This VM orders no promotions any more: its record in the store lapsed or was replaced.", []string{"token", "reason"}, "0.2"},
-	{SlotsChanged, logrus.InfoLevel, "Databases changed", "The registrations of databases differ from those before.", []string{"slots", "leaving"}, "0.2"},
 	{ReplicaUnsealed, logrus.InfoLevel, "Replica unsealed", "A seal that no promotion followed was ended.", []string{"group", "slot"}, "0.2"},
 	{GroupState, logrus.InfoLevel, "State of a group", "What this VM knows of a group: for each database role, latency in ms, requests under way, failures in a row and lag in ms; connections open, idle and waited for; and where reads went so far.", []string{"group", "term", "slots", "links", "routes"}, "0.2"},
 	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket is in force on this VM.", []string{"number", "ticket"}, "0.1"},
@@ -106,9 +112,25 @@
 	return Entry{}, false
 }
 
+// perSecond is how many lines of one event are written in a second; a line then
+// says how many were left out.
+const perSecond = 40
+
 // Log writes events with the fields of one VM.
 type Log struct {
 	logger *logrus.Entry
+	// Now tells the time by which the rates are kept; nil keeps none.
+	Now func() time.Time
+
+	mu    sync.Mutex
+	rates map[ID]*rate
+}
+
+// rate counts the lines of one event in one second.
+type rate struct {
+	second  int64
+	written int
+	leftOut int
 }
 
 // NewLog makes a log of the VM that writes to logger.
@@ -119,11 +141,18 @@
 // Fields are the structured fields of one event.
 type Fields = logrus.Fields
 
-// Write logs an event. A nil log drops it.
+// Write writes an event, unless there were too many of its kind in this second.
 func (log *Log) Write(id ID, fields Fields) {
-	if log == nil {
-		return
+	leftOut, ok := log.allow(id)
+	if leftOut > 0 {
+		log.write(LinesLeftOut, Fields{"of": int(id), "count": leftOut})
 	}
+	if ok {
+		log.write(id, fields)
+	}
+}
+
+func (log *Log) write(id ID, fields Fields) {
 	entry, ok := Find(id)
 	if !ok {
 		entry = Entry{ID: id, Level: logrus.ErrorLevel, Title: "unknown event"}
@@ -131,6 +160,35 @@
 	log.logger.WithFields(fields).WithField("event", int(id)).Log(entry.Level, entry.Title)
 }
 
+// allow reports whether a line may be written, and how many were left out before.
+func (log *Log) allow(id ID) (int, bool) {
+	if log.Now == nil {
+		return 0, true
+	}
+	second := log.Now().Unix()
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.rates == nil {
+		log.rates = make(map[ID]*rate)
+	}
+	kept, ok := log.rates[id]
+	if !ok {
+		kept = &rate{}
+		log.rates[id] = kept
+	}
+	var leftOut int
+	if kept.second != second {
+		leftOut = kept.leftOut
+		*kept = rate{second: second}
+	}
+	if kept.written >= perSecond {
+		kept.leftOut++
+		return leftOut, false
+	}
+	kept.written++
+	return leftOut, true
+}
+
 // Page returns the catalogue as the text of docs/EVENTS.md.
 func Page() string {
 	var page strings.Builder
--- /dev/null
+++ b/event/ring_test.go
@@ -0,0 +1,51 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleydoor/bramleydoor/event"
+)
+
+// A ring whose writer hangs drops lines and counts them; it never blocks.
+func TestRingDrops(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	ring := event.NewRing(&out)
+	for range 1030 {
+		_, err := ring.Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(ring.Dropped(), qt.Equals, int64(6))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(ring.Run(ctx), qt.IsNil)
+	c.Assert(out.Len(), qt.Equals, 1024)
+}
+
+// Beyond a rate, lines of an event are left out, and a line says how many.
+func TestRateOfLines(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	log := event.NewLog(logger, "vm1")
+	now := time.Unix(1000, 0)
+	log.Now = func() time.Time { return now }
+	for range 100 {
+		log.Write(event.RequestRefused, nil)
+	}
+	log.Write(event.StoreBack, nil)
+	c.Assert(strings.Count(out.String(), "event=2005"), qt.Equals, 40)
+	c.Assert(strings.Count(out.String(), "event=4004"), qt.Equals, 1)
+	now = now.Add(time.Second)
+	log.Write(event.RequestRefused, nil)
+	c.Assert(strings.Count(out.String(), "event=2005"), qt.Equals, 41)
+	c.Assert(out.String(), qt.Contains, "count=60 event=1005 of=2005")
+}
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -16,6 +16,8 @@
 	Retries  expvar.Map
 	// Routes counts reads by the reason they went where they went.
 	Routes expvar.Map
+	// Latency has the times of answers.
+	Latency Latency
 	// Sessions counts callers that are connected now.
 	Sessions expvar.Int
 	// Requests counts requests that were answered.
--- /dev/null
+++ b/trace/explain_test.go
@@ -0,0 +1,38 @@
+package trace_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/trace"
+)
+
+const logs = `
+ 13.1 vm2 {"event":3002,"group":"ledger","cause":"primarySilent","term":2,"time":"2026-04-20T12:00:02.5Z","vm":"vm2"}
+{"event":2006,"request":"5c","group":"ledger","slot":"a","reason":"connectFailed","dispatch":"notDispatched","attempt":0,"afterMs":12,"time":"2026-04-20T12:00:02Z","vm":"vm1"}
+{"event":3011,"group":"ledger","term":1,"slots":"a=primary/9/1/2/0","links":"a=1/0/4.0/0","time":"2026-04-20T12:00:01Z","vm":"vm1"}
+{"event":3011,"group":"other","term":1,"slots":"x=primary","time":"2026-04-20T12:00:01.5Z","vm":"vm1"}
+{"event":2005,"request":"5c","database":"lepu","code":"busy","reason":"noPrimary","attempt":1,"afterMs":400,"time":"2026-04-20T12:00:02.4Z","vm":"vm1"}
+{"event":3002,"group":"other","term":9,"time":"2026-04-20T12:00:02.6Z","vm":"vm2"}
+{"event":3002,"group":"ledger","term":3,"time":"2026-04-20T12:00:22.6Z","vm":"vm2"}
+not a line
+{"event":"what"}
+`
+
+// From a request's id to its attempts, what was believed, and what happened then.
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	lines, err := trace.ReadLog(strings.NewReader(logs))
+	c.Assert(err, qt.IsNil)
+	var out strings.Builder
+	c.Assert(trace.Explain(&out, "5c", lines), qt.IsNil)
+	c.Assert(out.String(), qt.Equals, `12:00:02.000 vm1 2006 Request retried: group=ledger slot=a reason=connectFailed dispatch=notDispatched attempt=0 afterMs=12
+    known 1s before: term=1 slots=a=primary/9/1/2/0 links=a=1/0/4.0/0
+12:00:02.400 vm1 2005 Request refused: database=lepu code=busy reason=noPrimary attempt=1 afterMs=400
+around that time:
+    12:00:02.500 vm2 3002 Promotion begun: group=ledger term=2 cause=primarySilent
+`)
+	c.Assert(trace.Explain(&out, "5d", lines), qt.ErrorMatches, `no line of these logs has request "5d".*`)
+}
