--- a/trace/explain.go
+++ b/trace/explain.go
@@ -139,7 +139,7 @@
 		return err
 	}
 	for _, line := range lines {
-		if line.Time.Before(from) || line.Time.After(to) || line.text("request") != "" || line.Event == event.GroupState {
+		if line.Time.Before(from) || line.Time.After(to) || !isBackground(line.Event) {
 			continue
 		}
 		if group := line.text("group"); group != "" && !groups[group] {
@@ -151,3 +151,12 @@
 	}
 	return nil
 }
+
+// isBackground reports whether an event tells of more than one request.
+func isBackground(id event.ID) bool {
+	switch id {
+	case event.GroupState, event.LinesLeftOut, event.RequestRefused, event.RequestRetried, event.UncertainOutcome:
+		return false
+	}
+	return true
+}
