--- a/duty/duty.go
+++ b/duty/duty.go
@@ -33,7 +33,7 @@
 	// lookEvery is how often a VM without the duty reads the record.
 	lookEvery = 1 * time.Second
 	// heardFor is how long the holder must be silent for others to read.
-	heardFor = 1 * time.Second
+	heardFor = 700 * time.Millisecond
 	// firstLook is the pause before a VM that has just started reads again.
 	firstLook = 150 * time.Millisecond
 	// Key is the record's name in the store.
@@ -116,9 +116,8 @@
 	if holder.Clock.Now().Sub(holder.HeardAt()) < heardFor {
 		return heardFor / 2
 	}
-	if !holder.takeNote() {
-		holder.look(ctx)
-	}
+	holder.takeNote()
+	holder.look(ctx)
 	return holder.takeIfFree(ctx)
 }
 
@@ -146,24 +145,24 @@
 }
 
 // takeNote goes by the holder's last note if that is newer than what was read.
-func (holder *Holder) takeNote() bool {
+func (holder *Holder) takeNote() {
 	holder.mu.Lock()
 	note := holder.noted
 	holder.mu.Unlock()
 	if note.Revision == 0 || note.Revision < holder.seen.Revision {
-		return false
+		return
 	}
 	if note.Revision > holder.seen.Revision {
 		value, err := json.Marshal(record{Holder: note.Holder, Token: note.Token})
 		if err != nil {
-			return false
+			holder.Log.Write(event.DutyEnded, event.Fields{"error": err.Error()})
+			return
 		}
 		holder.saw(store.Item{Key: Key, Value: value, Revision: note.Revision})
 	}
 	if note.At.Before(holder.seenAt) {
 		holder.seenAt = note.At
 	}
-	return holder.Clock.Now().Before(note.At.Add(TTL + 2*margin))
 }
 
 func (holder *Holder) lost(reason string) {
@@ -224,7 +223,7 @@
 	isOurs := old.Holder == holder.VM
 	lapses := holder.seenAt.Add(TTL + margin)
 	if old.Holder != "" && !isOurs && holder.Clock.Now().Before(lapses) {
-		return min(lookEvery, lapses.Sub(holder.Clock.Now())+margin)
+		return min(lookEvery, max(lapses.Sub(holder.Clock.Now()), margin))
 	}
 	next := record{Holder: holder.VM, Run: holder.Run, Token: old.Token + 1}
 	if holder.write(ctx, next) {
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -164,6 +164,28 @@
 	return tree.Tree.Swap(ctx, key, value, revision)
 }
 
+// A VM that hears its holder takes the duty soon after the holder gave it up.
+func TestReleaseIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tree := &fakekv.Tree{}
+		first, second := holder(tree, "vm1", 1), holder(tree, "vm2", 2)
+		var heard time.Time
+		second.HeardAt = func() time.Time { return heard }
+		stopFirst := serve(first)
+		time.Sleep(100 * time.Millisecond)
+		heard = time.Now()
+		stopSecond := serve(second)
+		revision, age := first.Told()
+		second.Heard(duty.Note{Holder: "vm1", Token: 1, Revision: revision, At: heard.Add(-age)})
+		stopFirst()
+		time.Sleep(1300 * time.Millisecond)
+		_, ok := second.Holds(0)
+		c.Assert(ok, qt.IsTrue)
+		stopSecond()
+	})
+}
+
 // A VM that hears of the record from its holder takes the duty as soon as it has
 // lapsed, without having watched the record, and never before.
 func TestTakeoverByNote(t *testing.T) {
