Tell a caller that a database did not answer, not that the pool was full

Cause (TestNoMajority failed once beside other work): a request whose time ended while its connection was being opened got the refusal of one that waits for a place. Ruled out: a full pool; the test has one session and a share of several connections.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -198,7 +198,7 @@
 // given meanwhile.
 func (pool *Pool) abandon(w *waiter) error {
 	pool.mu.Lock()
-	pool.queue.Remove(w.session.Caller, w)
+	wasWaiting := pool.queue.Remove(w.session.Caller, w)
 	w.gone = true
 	pool.mu.Unlock()
 	select {
@@ -208,6 +208,10 @@
 		}
 	default:
 	}
+	if !wasWaiting {
+		// A place was free; it is the database that did not answer.
+		return fault.Refuse(fault.CodeConnection, fault.ReasonConnectFailed, "no connection to the database within the deadline")
+	}
 	return fault.Refuse(fault.CodeTooMany, fault.ReasonDeadline, "no connection was free within the deadline")
 }
 
