Understand pgx's Ping and CopyFrom in the stand-in

Both are what a newcomer tries first with a demo that holds; the stand-in knew neither a comment alone, nor quoted names, nor COPY in the binary format.

--- a/demo/caller_test.go
+++ b/demo/caller_test.go
@@ -251,3 +251,17 @@
 	_, err = pgx.Connect(ctx, "postgres://clerk@"+cluster.VMs[0].Address()+"/ledger9.db9?sslmode=disable")
 	c.Assert(err, qt.ErrorMatches, ".*3D000.*")
 }
+
+// What a newcomer tries first: pgx's Ping, which sends only a comment, and its
+// CopyFrom, which describes the table before.
+func TestPingAndCopyFrom(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTiny(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	c.Assert(conn.Ping(ctx), qt.IsNil)
+	rows := pgx.CopyFromRows([][]any{{"copied1", "7"}, {"copied2", "8"}})
+	count, err := conn.CopyFrom(ctx, pgx.Identifier{"counter"}, []string{"key", "value"}, rows)
+	c.Assert(err, qt.IsNil)
+	c.Assert(count, qt.Equals, int64(2))
+	c.Assert(readFrom(ctx, c, conn, "counter", "copied2"), qt.Equals, "8")
+}
--- a/fakedb/forms.go
+++ b/fakedb/forms.go
@@ -1,6 +1,7 @@
 package fakedb
 
 import (
+	"encoding/binary"
 	"fmt"
 	"regexp"
 	"sort"
@@ -63,6 +64,7 @@
 		{id: "writeAdd", pattern: pattern(`update_IDENT_set_value = value \+ VALUE_where_key = VALUE SUFFIX`), columns: []string{"value"}, run: add},
 		{id: "writeSet", pattern: pattern(`update_IDENT_set_value = VALUE_where_key = VALUE SUFFIX`), columns: []string{"value"}, run: update},
 		{id: "writeDelete", pattern: pattern(`delete_from_IDENT_where_key = VALUE SUFFIX`), columns: []string{"value"}, run: remove},
+		{id: "copyBinary", pattern: pattern(`copy_IDENT(?:\s*\([^)]*\))?_from_stdin_binary`), run: copyBinary},
 		{id: "copyIn", pattern: pattern(`copy_IDENT(?:\s*\([^)]*\))?_from_stdin.*`), run: copyIn},
 		{id: "copyOut", pattern: pattern(`copy_IDENT_to_stdout.*`), run: copyOut},
 		{id: "begin", pattern: pattern(`(?:begin|start\s+transaction)(.*)`), run: begin},
@@ -99,7 +101,13 @@
 	return form, args, err
 }
 
+// quotedIdent is an identifier as clients quote it.
+var quotedIdent = regexp.MustCompile(`"([a-z_][a-z0-9_]*)"`)
+
 func matchForm(text string) (*form, []string, error) {
+	if !strings.Contains(text, "'") {
+		text = quotedIdent.ReplaceAllString(text, "$1")
+	}
 	for _, form := range forms {
 		if match := form.pattern.FindStringSubmatch(text); match != nil {
 			return form, match[1:], nil
@@ -136,12 +144,17 @@
 }
 
 func appendStatement(statements []string, text string) []string {
-	if strings.TrimSpace(text) == "" {
+	if trimmed := strings.TrimSpace(text); trimmed == "" || isComment(trimmed) {
 		return statements
 	}
 	return append(statements, text)
 }
 
+// isComment reports whether a text is one comment line, as pgx's Ping sends.
+func isComment(text string) bool {
+	return strings.HasPrefix(text, "--") && !strings.Contains(text, "\n")
+}
+
 // resolve turns a literal or parameter into its text.
 func resolve(arg string, params []string) string {
 	if number, ok := strings.CutPrefix(arg, "$"); ok {
@@ -232,37 +245,106 @@
 
 // copyIn takes rows in the text format: key, tab, value.
 func copyIn(session *session, args, _ []string) (result, error) {
-	session.backend.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0, 0}})
-	if err := session.backend.Flush(); err != nil {
+	text, err := session.receiveCopy(0)
+	if err != nil {
 		return result{}, err
 	}
-	var text []byte
+	lines := strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+	rows := make([][2]string, 0, len(lines))
+	for _, line := range lines {
+		key, value, _ := strings.Cut(line, "\t")
+		rows = append(rows, [2]string{key, value})
+	}
+	return copyRows(session, args[0], rows)
+}
+
+func copyBinary(session *session, args, _ []string) (result, error) {
+	data, err := session.receiveCopy(1)
+	if err != nil {
+		return result{}, err
+	}
+	rows, err := binaryRows(data)
+	if err != nil {
+		return result{}, err
+	}
+	return copyRows(session, args[0], rows)
+}
+
+// receiveCopy asks for the rows of a COPY in a format and returns their bytes.
+func (session *session) receiveCopy(format uint16) ([]byte, error) {
+	session.backend.Send(&pgproto3.CopyInResponse{
+		OverallFormat: byte(format), ColumnFormatCodes: []uint16{format, format},
+	})
+	if err := session.backend.Flush(); err != nil {
+		return nil, err
+	}
+	var data []byte
 	for {
 		message, err := session.backend.Receive()
 		if err != nil {
-			return result{}, err
+			return nil, err
 		}
 		switch message := message.(type) {
 		case *pgproto3.CopyData:
-			text = append(text, message.Data...)
+			data = append(data, message.Data...)
 		case *pgproto3.CopyFail:
-			return result{}, pgError{"57014", "COPY from stdin failed: " + message.Message}
+			return nil, pgError{"57014", "COPY from stdin failed: " + message.Message}
 		case *pgproto3.CopyDone:
-			return copyRows(session, args[0], string(text))
+			return data, nil
 		}
 	}
 }
 
-func copyRows(session *session, table, text string) (result, error) {
-	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
-	for _, line := range lines {
-		key, value, _ := strings.Cut(line, "\t")
-		if err := session.tx.lock(table, key); err != nil {
+// Sizes in the binary format of COPY, in bytes.
+const (
+	copyHeader = 19 // signature, flags and no extension
+	copyCount  = 2
+	copyLength = 4
+)
+
+// binaryRows reads rows of two text columns in the binary format of COPY.
+func binaryRows(data []byte) ([][2]string, error) {
+	broken := pgError{"22P04", "COPY data is cut short"}
+	if len(data) < copyHeader {
+		return nil, broken
+	}
+	data = data[copyHeader:]
+	var rows [][2]string
+	for len(data) > 0 {
+		if len(data) < copyCount {
+			return nil, broken
+		}
+		count := binary.BigEndian.Uint16(data)
+		data = data[copyCount:]
+		if count != 2 {
+			// The count -1 may end the rows.
+			return rows, nil
+		}
+		var row [2]string
+		for i := range row {
+			if len(data) < copyLength {
+				return nil, broken
+			}
+			size := int(binary.BigEndian.Uint32(data))
+			data = data[copyLength:]
+			if size > len(data) {
+				return nil, broken
+			}
+			row[i], data = string(data[:size]), data[size:]
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func copyRows(session *session, table string, rows [][2]string) (result, error) {
+	for _, row := range rows {
+		if err := session.tx.lock(table, row[0]); err != nil {
 			return result{}, err
 		}
-		session.tx.put(write{table: table, key: key, value: value})
+		session.tx.put(write{table: table, key: row[0], value: row[1]})
 	}
-	return result{tag: fmt.Sprintf("COPY %d", len(lines))}, nil
+	return result{tag: fmt.Sprintf("COPY %d", len(rows))}, nil
 }
 
 func copyOut(session *session, args, _ []string) (result, error) {
