--- a/event/event.go
+++ b/event/event.go
@@ -141,8 +141,12 @@
 // Fields are the structured fields of one event.
 type Fields = logrus.Fields
 
-// Write writes an event, unless there were too many of its kind in this second.
+// Write writes an event, unless there were too many of its kind in this second. A
+// nil log writes nothing.
 func (log *Log) Write(id ID, fields Fields) {
+	if log == nil {
+		return
+	}
 	leftOut, ok := log.allow(id)
 	if leftOut > 0 {
 		log.write(LinesLeftOut, Fields{"of": int(id), "count": leftOut})
--- a/event/ring_test.go
+++ b/event/ring_test.go
@@ -49,3 +49,9 @@
 	c.Assert(strings.Count(out.String(), "event=2005"), qt.Equals, 41)
 	c.Assert(out.String(), qt.Contains, "count=60 event=1005 of=2005")
 }
+
+// A nil log writes nothing.
+func TestNilLog(_ *testing.T) {
+	var log *event.Log
+	log.Write(event.StoreBack, nil)
+}
