Guard the parts of a VM that others look at

Found by the race detector in the tests: IsKeeper could be asked while Run made the parts, and two tests shared variables with a holder's goroutine.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,14 +152,26 @@
 	}
 }
 
+// moment is a time that a test sets while a holder reads it.
+type moment struct{ at atomic.Pointer[time.Time] }
+
+func (moment *moment) set(at time.Time) { moment.at.Store(&at) }
+
+func (moment *moment) get() time.Time {
+	if at := moment.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // cutTree is a store that one VM may be cut off from.
 type cutTree struct {
 	*fakekv.Tree
-	isCut bool
+	isCut atomic.Bool
 }
 
 func (tree *cutTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
-	if tree.isCut {
+	if tree.isCut.Load() {
 		return store.Item{}, store.ErrUnavailable
 	}
 	return tree.Tree.Swap(ctx, key, value, revision)
@@ -170,14 +183,14 @@
 		c := qt.New(t)
 		tree := &fakekv.Tree{}
 		first, second := holder(tree, "vm1", 1), holder(tree, "vm2", 2)
-		var heard time.Time
-		second.HeardAt = func() time.Time { return heard }
+		var heard moment
+		second.HeardAt = heard.get
 		stopFirst := serve(first)
 		time.Sleep(100 * time.Millisecond)
-		heard = time.Now()
+		heard.set(time.Now())
 		stopSecond := serve(second)
 		revision, age := first.Told()
-		second.Heard(duty.Note{Holder: "vm1", Token: 1, Revision: revision, At: heard.Add(-age)})
+		second.Heard(duty.Note{Holder: "vm1", Token: 1, Revision: revision, At: heard.get().Add(-age)})
 		stopFirst()
 		time.Sleep(1300 * time.Millisecond)
 		_, ok := second.Holds(0)
@@ -195,21 +208,21 @@
 		first, second := holder(tree, "vm1", 1), holder(tree, "vm2", 2)
 		cut := &cutTree{Tree: tree}
 		first.Store = cut
-		var heard time.Time
-		second.HeardAt = func() time.Time { return heard }
+		var heard moment
+		second.HeardAt = heard.get
 		stopFirst := serve(first)
 		time.Sleep(100 * time.Millisecond)
-		heard = time.Now()
+		heard.set(time.Now())
 		stopSecond := serve(second)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
-			heard = time.Now()
+			heard.set(time.Now())
 			token, ok := first.Holds(0)
 			c.Assert(ok, qt.IsTrue)
 			revision, age := first.Told()
-			second.Heard(duty.Note{Holder: "vm1", Token: token, Revision: revision, At: heard.Add(-age)})
+			second.Heard(duty.Note{Holder: "vm1", Token: token, Revision: revision, At: heard.get().Add(-age)})
 		}
-		cut.isCut = true
+		cut.isCut.Store(true)
 		for {
 			time.Sleep(10 * time.Millisecond)
 			if _, ok := first.Holds(0); !ok {
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -94,21 +94,7 @@
 
 // Run serves until ctx ends, and then stops as planned.
 func (vm *VM) Run(ctx context.Context) error {
-	vm.links = &conset.Set{Dialer: vm.Dialer, Clock: vm.Clock, Limit: vm.share}
-	vm.engine = &engine.Engine{
-		Config: &vm.config, Groups: vm, Links: vm.links, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
-	}
-	vm.duty = &duty.Holder{
-		Store: vm.Store, Clock: vm.Clock, Log: vm.Log,
-		VM: vm.id(), Run: uint64(vm.Clock.Now().UnixNano()),
-	}
-	vm.grants = &grants.Agent{
-		Conn: vm.Peers, VM: vm.id(), Port: vm.PeerPort, Duty: vm.duty, Clock: vm.Clock, Log: vm.Log,
-		Groups: vm.allGroups, Peers: vm.vms.names, Tell: vm.tell, Hear: vm.hear,
-	}
-	vm.duty.HeardAt = vm.grants.HeardAt
-	vm.groups = make(map[string]*running)
-	vm.configFeed, vm.memberFeed = vm.newConfigFeed(), vm.newMemberFeed()
+	vm.init()
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	ended := make(chan error, 1)
@@ -145,6 +131,27 @@
 	return <-ended
 }
 
+// init makes the VM's parts.
+func (vm *VM) init() {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	vm.links = &conset.Set{Dialer: vm.Dialer, Clock: vm.Clock, Limit: vm.share}
+	vm.engine = &engine.Engine{
+		Config: &vm.config, Groups: vm, Links: vm.links, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
+	}
+	vm.duty = &duty.Holder{
+		Store: vm.Store, Clock: vm.Clock, Log: vm.Log,
+		VM: vm.id(), Run: uint64(vm.Clock.Now().UnixNano()),
+	}
+	vm.grants = &grants.Agent{
+		Conn: vm.Peers, VM: vm.id(), Port: vm.PeerPort, Duty: vm.duty, Clock: vm.Clock, Log: vm.Log,
+		Groups: vm.allGroups, Peers: vm.vms.names, Tell: vm.tell, Hear: vm.hear,
+	}
+	vm.duty.HeardAt = vm.grants.HeardAt
+	vm.groups = make(map[string]*running)
+	vm.configFeed, vm.memberFeed = vm.newConfigFeed(), vm.newMemberFeed()
+}
+
 // id names the VM to other VMs; another VM may get the same name later.
 func (vm *VM) id() string { return vm.Name + "@" + vm.Address }
 
@@ -260,6 +267,12 @@
 
 // IsKeeper reports whether the VM holds the duty to promote.
 func (vm *VM) IsKeeper() bool {
-	_, ok := vm.duty.Holds(0)
+	vm.mu.Lock()
+	holder := vm.duty
+	vm.mu.Unlock()
+	if holder == nil {
+		return false
+	}
+	_, ok := holder.Holds(0)
 	return ok
 }
