--- a/grants/grants.go
+++ b/grants/grants.go
@@ -25,7 +25,6 @@
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
-	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/promo"
 )
 
@@ -43,70 +42,6 @@
 	maxDatagram = 60 << 10
 )
 
-type kind uint8
-
-const (
-	kindAsk kind = iota + 1
-	kindGrant
-	kindRevoke
-	kindRevoked
-)
-
-// note is one group in a message.
-type note struct {
-	_        struct{} `cbor:",toarray"`
-	Group    string
-	Term     uint64
-	Primary  string
-	Start    posn.Position
-	Position posn.Position
-	AgeMS    int64
-	// IsCut says that the asking VM can't reach the primary.
-	IsCut bool
-}
-
-// message is a datagram.
-type message struct {
-	_     struct{} `cbor:",toarray"`
-	Kind  kind
-	From  string
-	Seq   uint64
-	Token uint64
-	// News is what a keeper has heard from the store.
-	News News
-	// Notes has the granted groups, the group to revoke, or how the asking VM sees
-	// the primaries: AgeMS is then how long ago each answered.
-	Notes []note
-}
-
-// News is how far a keeper follows the store, so that other VMs need not.
-type News struct {
-	_ struct{} `cbor:",toarray"`
-	// Feeds are in the order that all VMs agree on.
-	Feeds []Feed
-	// VMs is how many VMs ask for grants.
-	VMs int
-	// DutyRevision is that of the keeper's record, DutyAgeMS how long ago, in ms,
-	// it was sent.
-	DutyRevision uint64
-	DutyAgeMS    int64
-}
-
-// Keeper is a VM that holds the duty.
-type Keeper struct {
-	VM    string
-	Token uint64
-}
-
-// Feed is how far a keeper follows one prefix of the store.
-type Feed struct {
-	_ struct{} `cbor:",toarray"`
-	// Changed is the revision of the last change.
-	Changed uint64
-	// AgeMS is how long ago, in ms, that was known to be the last.
-	AgeMS int64
-}
-
 // Duty tells who orders promotions.
 type Duty interface {
 	Holds(need time.Duration) (uint64, bool)
@@ -150,11 +85,6 @@
 	groups map[string]dbset.View
 }
 
-type revocation struct {
-	seq   uint64
-	acked map[string]bool
-}
-
 // Run answers and asks until ctx ends.
 func (agent *Agent) Run(ctx context.Context) error {
 	agent.mu.Lock()
@@ -354,33 +284,6 @@
 	}
 }
 
-// revoked ends a grant and confirms that.
-func (agent *Agent) revoked(order message) {
-	for _, group := range agent.Groups() {
-		if len(order.Notes) != 1 || group.Name != order.Notes[0].Group {
-			continue
-		}
-		if !group.Revoke(order.Token, agent.Clock.Now()) {
-			return
-		}
-	}
-	order.Kind = kindRevoked
-	keeper := order.From
-	order.From = agent.VM
-	agent.send(keeper, order)
-}
-
-func (agent *Agent) confirmed(reply message) {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	if len(reply.Notes) != 1 {
-		return
-	}
-	if revoking, ok := agent.frozen[reply.Notes[0].Group]; ok && revoking.seq == reply.Seq {
-		revoking.acked[reply.From] = true
-	}
-}
-
 // Others returns how the VMs that ask see a group's primary.
 func (agent *Agent) Others(group, primary string) promo.Others {
 	agent.mu.Lock()
@@ -409,78 +312,3 @@
 	}
 	return others
 }
-
-// Freeze stops granting a group and returns when no VM has a grant any more;
-// false says that some VMs have not confirmed it.
-func (agent *Agent) Freeze(ctx context.Context, group string) bool {
-	token, ok := agent.Duty.Holds(0)
-	if !ok {
-		return false
-	}
-	now := agent.Clock.Now()
-	agent.mu.Lock()
-	agent.takeToken(token, now)
-	agent.seq++
-	revoking := &revocation{seq: agent.seq, acked: make(map[string]bool)}
-	agent.frozen[group] = revoking
-	agent.mu.Unlock()
-	order := message{
-		Kind: kindRevoke, From: agent.VM, Seq: revoking.seq, Token: token,
-		Notes: []note{{Group: group}},
-	}
-	for {
-		missing, until := agent.missing(revoking)
-		if len(missing) == 0 {
-			return true
-		}
-		if !agent.Clock.Now().Before(until) {
-			return false
-		}
-		for _, vm := range missing {
-			agent.send(vm, order)
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-agent.Clock.After(revokeEvery):
-		}
-	}
-}
-
-// missing returns the VMs that have not confirmed, and when the last of their
-// grants has run out.
-func (agent *Agent) missing(revoking *revocation) ([]string, time.Time) {
-	peers := agent.Peers()
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	all := make(map[string]bool, len(peers)+len(agent.granted))
-	for _, vm := range peers {
-		all[vm] = true
-	}
-	for vm := range agent.granted {
-		all[vm] = true
-	}
-	var missing []string
-	var until time.Time
-	for vm := range all {
-		if revoking.acked[vm] {
-			continue
-		}
-		missing = append(missing, vm)
-		last := agent.tokenAt
-		if at, ok := agent.granted[vm]; ok {
-			last = at
-		}
-		if ends := last.Add(dbset.GrantFor + margin); ends.After(until) {
-			until = ends
-		}
-	}
-	return missing, until
-}
-
-// Thaw grants a group again.
-func (agent *Agent) Thaw(group string) {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	delete(agent.frozen, group)
-}
