Give the duty up only after orders have ended; grant from the first reports on

A VM that got SIGTERM while its order to promote was on its way released the duty at once; a later holder's order with a higher token could overtake it (found in reading). A keeper whose replicas reported before the primary waited 2.5 s for their next report before it granted (found while tracing one failure in about 300 of TestPrimaryIsReplaced, whose first write was refused).

--- a/dbset/dbset_test.go
+++ b/dbset/dbset_test.go
@@ -221,3 +221,16 @@
 	_, ok = group.Offer(at(8))
 	c.Assert(ok, qt.IsFalse)
 }
+
+// A replica that reports before its primary has shown the term, too: a keeper that
+// starts grants with the primary's first report.
+func TestReplicaReportsFirst(t *testing.T) {
+	c := qt.New(t)
+	group := group()
+	group.Report("b", dbset.Report{Term: 3}, at(0), at(1))
+	_, ok := group.Offer(at(2))
+	c.Assert(ok, qt.IsFalse)
+	group.Report("a", dbset.Report{Primary: true, Term: 3}, at(3), at(4))
+	_, ok = group.Offer(at(5))
+	c.Assert(ok, qt.IsTrue)
+}
--- a/dbset/grant.go
+++ b/dbset/grant.go
@@ -74,7 +74,7 @@
 
 // supersede takes note of a term whose primary is not known yet.
 func (group *Group) supersede(term uint64) {
-	group.term, group.primary = term, ""
+	group.term, group.shownTerm, group.primary = term, term, ""
 	group.grantedUntil, group.termStart = time.Time{}, posn.Position{}
 	group.wake()
 }
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -63,9 +63,14 @@
 	// reads the record.
 	HeardAt func() time.Time
 
+	// orders counts the orders that are on their way.
+	orders sync.WaitGroup
+
 	mu    sync.Mutex
 	until time.Time
 	token uint64
+	// isLeaving says that no order is begun any more.
+	isLeaving bool
 	// confirmed is the revision of the last rewrite.
 	confirmed uint64
 	noted     Note
@@ -86,6 +91,18 @@
 	return holder.token, true
 }
 
+// Begin begins an order that takes at most need: until end is called, the duty is
+// not given up, so that a later holder's order can't overtake this one.
+func (holder *Holder) Begin(need time.Duration) (token uint64, end func(), ok bool) {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	if holder.isLeaving || !holder.Clock.Now().Add(need).Before(holder.until) {
+		return 0, nil, false
+	}
+	holder.orders.Add(1)
+	return holder.token, holder.orders.Done, true
+}
+
 // Holder returns the VM that holds the duty, as far as known.
 func (holder *Holder) Holder() string {
 	holder.mu.Lock()
@@ -279,6 +296,10 @@
 
 // release gives the duty up so that another VM takes it at once.
 func (holder *Holder) release() {
+	holder.mu.Lock()
+	holder.isLeaving = true
+	holder.mu.Unlock()
+	holder.orders.Wait()
 	token, ok := holder.Holds(0)
 	if !ok {
 		return
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -86,6 +86,33 @@
 	})
 }
 
+// A VM that stops gives the duty up only after its order has ended, or a later
+// holder's order could overtake it.
+func TestReleaseWaitsForOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tree := &fakekv.Tree{}
+		first, second := holder(tree, "vm1", 1), holder(tree, "vm2", 2)
+		stopFirst := serve(first)
+		time.Sleep(100 * time.Millisecond)
+		stopSecond := serve(second)
+		time.Sleep(2 * time.Second)
+		_, end, ok := first.Begin(time.Second)
+		c.Assert(ok, qt.IsTrue)
+		go func() {
+			time.Sleep(900 * time.Millisecond)
+			_, ok := second.Holds(0)
+			c.Check(ok, qt.IsFalse)
+			end()
+		}()
+		stopFirst()
+		time.Sleep(2 * time.Second)
+		_, ok = second.Holds(0)
+		c.Assert(ok, qt.IsTrue)
+		stopSecond()
+	})
+}
+
 // A process that starts anew on the same VM takes the duty at once, since the one
 // before is dead.
 func TestRestart(t *testing.T) {
--- a/promo/carry.go
+++ b/promo/carry.go
@@ -170,10 +170,11 @@
 }
 
 func (keeper *Keeper) order(ctx context.Context, member dbset.Member) error {
-	token, ok := keeper.Duty.Holds(orderWait)
+	token, end, ok := keeper.Duty.Begin(orderWait)
 	if !ok {
 		return errNoDuty
 	}
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, orderWait)
 	defer cancel()
 	return keeper.Orders.Promote(ctx, Order{
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -44,6 +44,8 @@
 // Duty tells whether the VM may order promotions for as long as need.
 type Duty interface {
 	Holds(need time.Duration) (uint64, bool)
+	// Begin begins an order; the duty is not given up until its end.
+	Begin(need time.Duration) (token uint64, end func(), ok bool)
 }
 
 // Grants ends the VMs' grants before a promotion.
