--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -13,6 +13,13 @@
 	"github.com/bramleydoor/bramleydoor/wires"
 )
 
+// A statement waits for patience of patienceOf parts of its timeout to be sent: the
+// rest is left for its work, or for its caller to come back. From the bench's days.
+const (
+	patience   = 9
+	patienceOf = 20
+)
+
 // attempt is the work on one request of a session.
 type attempt struct {
 	session *Session
@@ -41,7 +48,7 @@
 // patience is the time that the statement still waits to be sent: long enough to
 // outlast a short queue, and short enough for the caller to come back in time.
 func (attempt *attempt) patience() time.Duration {
-	return attempt.remaining() - attempt.route.Timeout*11/20
+	return attempt.remaining() - attempt.route.Timeout*(patienceOf-patience)/patienceOf
 }
 
 func (attempt *attempt) want() admit.Want {
