Arrange groups by the newest configuration and registrations

Cause, from the log: the keeper's own group had no databases and no grant all the while, so it saw no primary to replace. rearrange read the registrations before it took the lock; called by both feeds at once, the call that had read first could put its older view in force last, and the VM was without databases until the next change in the store.

--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -27,10 +27,12 @@
 // rearrange brings groups, pools and duties in line with configuration and
 // registrations.
 func (vm *VM) rearrange() {
-	current := vm.config.Load()
-	all, byGroup := vm.members.all()
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
+	// Read under the lock: what was read before it may be older than what another
+	// call has put in force meanwhile.
+	current := vm.config.Load()
+	all, byGroup := vm.members.all()
 	if current == nil || vm.isStopped {
 		return
 	}
