Put a changed queue limit in force for groups that are held

The limit was set when a VM took a group, so a ticket that changed a rule's queueLimit had no effect until a restart. Apply sets it now; requests beyond a lower limit are refused at once with reason shed. TestQueueLimitChanges fails before: the waiters of the raised limit were refused.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -68,6 +68,7 @@
 // Apply puts a configuration of the group in force.
 func (holder *Holder) Apply(settings Settings) {
 	holder.Watch.SetGroup(settings.Group)
+	holder.Pool.SetQueueLimit(settings.Rule.QueueLimit)
 	holder.config.store(settings)
 }
 
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -45,6 +45,12 @@
 	}
 	queue.byCaller[item.Caller] = append(queue.byCaller[item.Caller], item)
 	queue.size++
+	return queue.Shed()
+}
+
+// Shed removes one item if the queue holds more than its limit, as it may after the
+// limit was lowered.
+func (queue *Queue[T]) Shed() (shed Item[T], isShed bool) {
 	if queue.size <= queue.Limit {
 		return shed, false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -71,12 +71,22 @@
 	err  error
 }
 
-// SetQueueLimit bounds the requests that wait for a connection.
+// SetQueueLimit bounds the requests that wait for a connection. Those beyond a
+// lower limit are refused at once.
 func (pool *Pool) SetQueueLimit(queueLimit int) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	pool.init()
 	pool.queue.Limit = queueLimit
+	for shed, isShed := pool.queue.Shed(); isShed; shed, isShed = pool.queue.Shed() {
+		shed.Value.refuse(fault.ReasonShed)
+	}
+}
+
+func (w *waiter) refuse(reason fault.Reason) {
+	refusal := fault.Refuse(fault.CodeTooMany, reason, "too many requests wait for a connection")
+	refusal.RetryAfter = time.Second
+	w.result <- outcome{err: refusal}
 }
 
 // Enforce closes idle connections over the share, lets waiting requests use a
@@ -189,9 +199,7 @@
 	if shed.Value == w {
 		reason = fault.ReasonQueueFull
 	}
-	refusal := fault.Refuse(fault.CodeTooMany, reason, "too many requests wait for a connection")
-	refusal.RetryAfter = time.Second
-	shed.Value.result <- outcome{err: refusal}
+	shed.Value.refuse(reason)
 }
 
 // abandon takes back a waiter whose time is up, or the connection that it was
--- a/serve/groups.go
+++ b/serve/groups.go
@@ -81,7 +81,6 @@
 	}
 	connections.Share = func() int { return vm.shares.of(held.Settings().Group) }
 	held.Apply(settings)
-	connections.SetQueueLimit(settings.Rule.QueueLimit)
 	name := settings.Group.Name
 	kept := &keeper.Keeper{
 		VM:       vm.Settings.ID,
