--- a/duty/duty.go
+++ b/duty/duty.go
@@ -195,7 +195,7 @@
 // look reads the record; a copy that is seconds old does no harm, since it is
 // replaced only at its revision.
 func (holder *Holder) look(ctx context.Context) {
-	items, _, err := holder.Store.Range(ctx, Key, true)
+	items, err := holder.read(ctx)
 	if err != nil {
 		return
 	}
@@ -211,6 +211,17 @@
 	holder.saw(found)
 }
 
+// read has no patience for a silent store while no record was ever seen: a fleet
+// that starts has no holder.
+func (holder *Holder) read(ctx context.Context) ([]store.Item, error) {
+	if holder.seenAt.IsZero() {
+		items, _, err := store.RangeEarly(ctx, holder.Store, holder.Clock, Key, true)
+		return items, err
+	}
+	items, _, err := holder.Store.Range(ctx, Key, true)
+	return items, err
+}
+
 func (holder *Holder) saw(found store.Item) {
 	if !holder.seenAt.IsZero() && found.Revision == holder.seen.Revision {
 		return
--- a/fakekv/tree.go
+++ b/fakekv/tree.go
@@ -23,6 +23,7 @@
 	changed  chan struct{}
 	isDown   bool
 	isMute   bool
+	isSilent bool
 	loseNext int
 	lateBy   time.Duration
 	calls    int
@@ -34,6 +35,13 @@
 // SetMute makes waiting calls hear nothing, or hear again.
 func (tree *Tree) SetMute(isMute bool) { tree.do(func() { tree.isMute = isMute }) }
 
+// silentFor is how long a call waits for an answer that does not come.
+const silentFor = 1500 * time.Millisecond
+
+// SetSilent makes calls get no answer, or an answer again; those that were made in
+// the silence never get one.
+func (tree *Tree) SetSilent(isSilent bool) { tree.do(func() { tree.isSilent = isSilent }) }
+
 // LoseNext loses the answers of the next swaps, which are made later by late.
 func (tree *Tree) LoseNext(count int, late time.Duration) {
 	tree.do(func() { tree.loseNext, tree.lateBy = count, late })
@@ -91,8 +99,17 @@
 }
 
 // enter counts a call and refuses it while the store is down.
-func (tree *Tree) enter() error {
+func (tree *Tree) enter(ctx context.Context) error {
 	tree.calls++
+	if tree.isSilent {
+		tree.mu.Unlock()
+		defer tree.mu.Lock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(silentFor):
+		}
+		return errors.Mark(errors.New("store was silent"), store.ErrUncertain)
+	}
 	if tree.isDown {
 		return errors.Mark(errors.New("store is down"), store.ErrUnavailable)
 	}
@@ -100,10 +117,10 @@
 }
 
 // Range reads all keys of a prefix.
-func (tree *Tree) Range(_ context.Context, prefix string, _ bool) ([]store.Item, uint64, error) {
+func (tree *Tree) Range(ctx context.Context, prefix string, _ bool) ([]store.Item, uint64, error) {
 	tree.mu.Lock()
 	defer tree.mu.Unlock()
-	if err := tree.enter(); err != nil {
+	if err := tree.enter(ctx); err != nil {
 		return nil, 0, err
 	}
 	var items []store.Item
@@ -121,7 +138,7 @@
 	timeout := time.After(wait)
 	tree.mu.Lock()
 	defer tree.mu.Unlock()
-	if err := tree.enter(); err != nil {
+	if err := tree.enter(ctx); err != nil {
 		return nil, 0, err
 	}
 	for {
@@ -165,10 +182,10 @@
 }
 
 // Swap writes a key under the condition of its revision.
-func (tree *Tree) Swap(_ context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+func (tree *Tree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
 	tree.mu.Lock()
 	defer tree.mu.Unlock()
-	if err := tree.enter(); err != nil {
+	if err := tree.enter(ctx); err != nil {
 		return store.Item{}, err
 	}
 	if tree.loseNext > 0 {
--- /dev/null
+++ b/store/early_test.go
@@ -0,0 +1,54 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/fakekv"
+	"github.com/bramleydoor/bramleydoor/store"
+)
+
+// A read that began while the store was silent has its answer soon after the store
+// is back; one that the store refuses fails at once; one that ends, ends.
+func TestRangeEarly(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(tree *fakekv.Tree)
+		timeout time.Duration
+		within  time.Duration
+		calls   int
+		fails   bool
+	}{
+		"healthy": {func(*fakekv.Tree) {}, time.Minute, 0, 1, false},
+		"silent for 400 ms": {func(tree *fakekv.Tree) {
+			tree.SetSilent(true)
+			time.AfterFunc(400*time.Millisecond, func() { tree.SetSilent(false) })
+		}, time.Minute, 600 * time.Millisecond, 3, false},
+		"silent for long": {func(tree *fakekv.Tree) { tree.SetSilent(true) }, 10 * time.Second, 10 * time.Second, 35, true},
+		"refusing":        {func(tree *fakekv.Tree) { tree.SetDown(true) }, time.Minute, 0, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				tree := &fakekv.Tree{}
+				tree.Set("a/1", []byte("x"))
+				test.prepare(tree)
+				ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+				defer cancel()
+				began := time.Now()
+				items, _, err := store.RangeEarly(ctx, tree, clock.System{}, "a/", false)
+				c.Assert(time.Since(began) <= test.within, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+				c.Assert(err != nil, qt.Equals, test.fails)
+				if !test.fails {
+					c.Assert(items, qt.HasLen, 1)
+				}
+				c.Assert(tree.Calls() <= test.calls, qt.IsTrue, qt.Commentf("%d calls", tree.Calls()))
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
--- a/vmrun/feed.go
+++ b/vmrun/feed.go
@@ -58,6 +58,13 @@
 	return feed.hinted > feed.covered
 }
 
+// isUnread reports whether the prefix was never read.
+func (feed *feed) isUnread() bool {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	return feed.asOf.IsZero()
+}
+
 func (feed *feed) isOlder(now time.Time, age time.Duration) bool {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -85,7 +85,7 @@
 // followOnce reads the prefix and follows it until the keeper tells of a change
 // that a watch has not shown, or a call fails.
 func (vm *VM) followOnce(ctx context.Context, feed *feed, answered func()) error {
-	items, revision, err := vm.Store.Range(ctx, feed.prefix, false)
+	items, revision, err := vm.rangeAll(ctx, feed)
 	if err != nil {
 		return err
 	}
@@ -116,6 +116,15 @@
 	}
 }
 
+// rangeAll reads the prefix, without patience for a silent store while the VM knows
+// nothing of it and serves nobody.
+func (vm *VM) rangeAll(ctx context.Context, feed *feed) ([]store.Item, uint64, error) {
+	if feed.isUnread() {
+		return store.RangeEarly(ctx, vm.Store, vm.Clock, feed.prefix, false)
+	}
+	return vm.Store.Range(ctx, feed.prefix, false)
+}
+
 // doubtAfterGap doubts registrations that end while nobody has told how the store
 // is: it may have been down.
 func (vm *VM) doubtAfterGap(feed *feed) {
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -473,3 +473,21 @@
 		c.Assert(late.tryWrite(), qt.Equals, wires.OK)
 	})
 }
+
+// A fleet that starts while the store is silent serves soon after the store is back,
+// not after the timeout of the calls that went into the silence.
+func TestStartIntoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fleet := newFleet(0)
+		defer fleet.close()
+		fleet.tree.SetSilent(true)
+		for range 3 {
+			fleet.start()
+		}
+		time.Sleep(200 * time.Millisecond)
+		fleet.tree.SetSilent(false)
+		gap := fleet.vms[0].gap()
+		c.Assert(gap < 800*time.Millisecond, qt.IsTrue, qt.Commentf("gap %s", gap))
+	})
+}
