Add the fault soak: VMs as processes, faults by seed, every promise judged

bramleydoor soak runs bramleyvm as separate processes on addresses of 127/8 against stand-ins that speak the platform's line protocol and its store's calls, with signals, kills, pauses, planned stops and the stand-ins' faults drawn from a seed, in series and overlapping. Package judge checks from what callers were told and databases ran: what a read has to see, nothing twice, true promises, own proofs, no former primary, unmixed transactions, session values, configurations in time and never back, planned stops that cut nothing. A short run of two seeds is a test; its bounds on time are far. The stand-in fakeup notes transactions, terms and proofs for this; a primary that is demoted takes its successor's log.

--- a/cliapp/cliapp.go
+++ b/cliapp/cliapp.go
@@ -67,6 +67,7 @@
 			loadCommand(),
 			replayCommand(),
 			standinCommand(),
+			soakCommand(),
 		},
 	}
 	setUsageErrors(root.Commands, root.OnUsageError)
--- /dev/null
+++ b/cliapp/soak.go
@@ -0,0 +1,109 @@
+package cliapp
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleydoor/bramleydoor/soak"
+)
+
+// Defaults of the soak.
+const (
+	soakDuration = 30 * time.Second
+	soakVMs      = 5
+	soakCallers  = 20
+	vmProgram    = "bramleyvm"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run VMs as processes against stand-ins, with faults by seed, and judge what was seen",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed"},
+			intFlag("seeds", 1, "number of seeds, one after the other"),
+			durationFlag("duration", soakDuration, "how long faults come, for each seed"),
+			intFlag("vms", soakVMs, fmt.Sprintf("VMs, at most %d", soak.MaxVMs)),
+			intFlag("callers", soakCallers, "number of callers"),
+			stringFlag("program", "", "program of a VM; the default is "+vmProgram+" beside this one"),
+			stringFlag("dir", "", "where settings and logs go, in a directory for each seed; the default is a temporary one"),
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object for each seed"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command) error {
+	vms := command.Int("vms")
+	if vms < 1 || vms > soak.MaxVMs || command.Int("callers") < 1 || command.Int("seeds") < 1 || command.Duration("duration") <= 0 {
+		return badInput("--vms has to be 1 to %d, --callers, --seeds and --duration more than zero", soak.MaxVMs)
+	}
+	program, err := soakProgram(command.String("program"))
+	if err != nil {
+		return err
+	}
+	dir := command.String("dir")
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "bramleydoor-soak-"); err != nil {
+			return err
+		}
+	}
+	first := command.Uint64("seed")
+	broken := 0
+	for seed := first; seed < first+uint64(command.Int("seeds")); seed++ {
+		run := &soak.Soak{
+			Seed: seed, Duration: command.Duration("duration"), VMs: vms, Callers: command.Int("callers"),
+			Program: []string{program}, Dir: filepath.Join(dir, fmt.Sprintf("seed%d", seed)),
+		}
+		report, err := run.Run(ctx)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		broken += len(report.Findings)
+		if err := printSoak(command, report, run.Dir); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return errors.Newf("%d findings", broken)
+	}
+	return nil
+}
+
+// soakProgram returns the program of a VM.
+func soakProgram(named string) (string, error) {
+	if named == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		named = filepath.Join(filepath.Dir(own), vmProgram)
+	}
+	if _, err := os.Stat(named); err != nil {
+		return "", badInput("--program: %s; build it with go build -o target/ ./cmd/...", err)
+	}
+	return filepath.Abs(named)
+}
+
+func printSoak(command *cli.Command, report soak.Report, dir string) error {
+	writer := command.Root().Writer
+	if command.Bool("json") {
+		return printJSON(writer, report)
+	}
+	fmt.Fprintf(writer, "seed %d: %d findings, %d promotions, served everywhere %d ms after the faults, logs in %s\n",
+		report.Seed, len(report.Findings), report.Promotions, report.RecoveryMS, dir)
+	printCounts(writer, "faults", toInt64(report.Faults))
+	printCounts(writer, "requests", toInt64(report.Requests))
+	printCounts(writer, "checked", toInt64(report.Checked))
+	printCounts(writer, "longest time without a confirmed write, ms", report.LongestGapMS)
+	for _, finding := range report.Findings {
+		fmt.Fprintf(writer, "  %s: %s\n", finding.Rule, finding.Text)
+	}
+	return nil
+}
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -65,6 +65,25 @@
 	// Position is the end of the log that the statement saw.
 	Position posn.Position
 	Values   map[string]string
+	// Conn tells the connections apart; Proof and At are the answer's and when it
+	// ran.
+	Conn  int
+	Proof string
+	At    time.Time
+	// Committed is the position of what it committed; zero for nothing.
+	Committed posn.Position
+	// IsFormer says that a database ran it that led an earlier term.
+	IsFormer bool
+	// Transaction numbers the transaction that it ran in, or ended; zero for none.
+	Transaction int
+}
+
+// Term is when a database began to lead, and the end of the log that it had.
+type Term struct {
+	Number  uint64
+	Primary string
+	Start   posn.Position
+	At      time.Time
 }
 
 // Upstream is a group of databases.
@@ -80,6 +99,9 @@
 	databases map[string]*Database
 	runs      []Run
 	orders    []promo.Order
+	terms     []Term
+	// conns and opened count connections and transactions.
+	conns, opened int
 }
 
 // New makes an upstream with databases a, b and c, of which a leads term 1.
@@ -125,6 +147,31 @@
 	return slices.Clone(upstream.runs)
 }
 
+// Terms returns the terms that began by a promotion.
+func (upstream *Upstream) Terms() []Term {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	return slices.Clone(upstream.terms)
+}
+
+// Rejoin makes a database that led an earlier term a replica of the newest, as
+// when it has reached the new primary. What only it had is rolled back.
+func (upstream *Upstream) Rejoin(id string) {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	upstream.rejoin(id)
+}
+
+func (upstream *Upstream) rejoin(id string) {
+	if _, ok := upstream.former[id]; !ok {
+		return
+	}
+	delete(upstream.former, id)
+	if leads, ok := upstream.databases[upstream.primary]; ok {
+		upstream.databases[id].log, upstream.databases[id].held = slices.Clone(leads.log), 0
+	}
+}
+
 // Orders returns the orders to promote.
 func (upstream *Upstream) Orders() []promo.Order {
 	upstream.mu.Lock()
@@ -158,6 +205,9 @@
 	upstream.term++
 	upstream.primary = order.Member
 	next.held = 0
+	upstream.terms = append(upstream.terms, Term{
+		Number: upstream.term, Primary: order.Member, Start: next.log[len(next.log)-1].position, At: time.Now(),
+	})
 	for _, other := range upstream.databases {
 		if _, ok := upstream.former[other.ID]; !ok && other != next {
 			other.log, other.held = slices.Clone(next.log), 0
@@ -197,7 +247,7 @@
 	position := posn.Position{Term: upstream.termOf(id), LSN: leads.log[len(leads.log)-1].position.LSN + 1}
 	leads.log = append(leads.log, entry{position: position, at: now})
 	for _, other := range upstream.databases {
-		if id != upstream.primary || other == leads || upstream.leads(other.ID) || other.IsDeaf || other.IsDark || other.held > 0 {
+		if id != upstream.primary || other == leads || upstream.leads(other.ID) || other.IsDeaf || other.IsDark || other.IsDown || other.held > 0 {
 			continue
 		}
 		other.log = append(other.log, entry{position: position, at: now.Add(other.Lag)})
@@ -239,12 +289,14 @@
 	}
 	database.Open++
 	database.Opened++
-	return &wire{vm: vm, upstream: upstream, database: database, values: make(map[string]string), shapes: make(map[string]wires.Shape)}, wires.Answer{}, nil
+	upstream.conns++
+	return &wire{vm: vm, number: upstream.conns, upstream: upstream, database: database, values: make(map[string]string), shapes: make(map[string]wires.Shape)}, wires.Answer{}, nil
 }
 
 // wire is a connection to a database.
 type wire struct {
 	vm       string
+	number   int
 	upstream *Upstream
 	database *Database
 	values   map[string]string
@@ -252,6 +304,8 @@
 	isOpen   bool
 	wrote    bool
 	isClosed bool
+	// transaction is the number of the open one.
+	transaction int
 }
 
 // IsAlive reports whether the connection was not closed and its database runs.
@@ -319,9 +373,10 @@
 		if !database.Position().AtLeast(request.Floor) {
 			return wires.Answer{Code: wires.Lagging}
 		}
-		wire.isOpen, wire.wrote = true, false
+		wire.upstream.opened++
+		wire.isOpen, wire.wrote, wire.transaction = true, false, wire.upstream.opened
 	case wires.Undo:
-		wire.isOpen = false
+		wire.isOpen, wire.transaction = false, 0
 	case wires.SetValue:
 		wire.values[request.Name] = request.Value
 	case wires.Define:
@@ -357,7 +412,7 @@
 	case wires.Unseal:
 		database.held = 0
 	case wires.Demote:
-		delete(upstream.former, database.ID)
+		upstream.rejoin(database.ID)
 		if database.ID == upstream.primary && request.Term > upstream.term {
 			upstream.primary = ""
 		}
@@ -386,16 +441,21 @@
 	if isWrite && wire.isOpen {
 		wire.wrote = true
 	}
+	_, isFormer := upstream.former[database.ID]
+	ran := Run{
+		Database: database.ID, ID: id, Text: text, Values: maps.Clone(wire.values), Conn: wire.number,
+		Proof: "proof-" + strconv.Itoa(len(upstream.runs)+1), At: time.Now(),
+		IsFormer: isFormer, Transaction: wire.transaction,
+	}
 	if isWrite && !wire.isOpen || isCommit && wire.wrote {
-		upstream.commit(database.ID)
+		ran.Committed = upstream.commit(database.ID)
 	}
 	if isCommit {
-		wire.isOpen = false
+		wire.isOpen, wire.wrote, wire.transaction = false, false, 0
 	}
-	upstream.runs = append(upstream.runs, Run{
-		Database: database.ID, ID: id, Text: text, Position: database.Position(), Values: maps.Clone(wire.values),
-	})
-	return wires.Answer{Rows: []string{text}, Proof: "proof-" + strconv.Itoa(len(upstream.runs))}
+	ran.Position = database.Position()
+	upstream.runs = append(upstream.runs, ran)
+	return wires.Answer{Rows: []string{text}, Proof: ran.Proof}
 }
 
 // Front is a caller's connection that a test drives.
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,48 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/platform"
+	"github.com/bramleydoor/bramleydoor/soak"
+)
+
+// vmVariable makes the test's program run a VM.
+const vmVariable = "BRAMLEYDOOR_TEST_VM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(vmVariable) != "" {
+		os.Exit(platform.Main(os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// A short run of each kind of seed: all faults, and planned work alone. The bounds
+// on time are far, since the machine may be busy; `bramleydoor soak` has the real
+// ones.
+func TestSoak(t *testing.T) {
+	t.Setenv(vmVariable, "1")
+	for name, seed := range map[string]uint64{"planned work": 1, "all faults": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			run := &soak.Soak{
+				Seed: seed, Duration: 6 * time.Second, VMs: 3, Callers: 6,
+				Program: []string{os.Args[0]}, Dir: t.TempDir(),
+				RecoverWithin: 2 * time.Minute, InForceWithin: 2 * time.Minute,
+			}
+			report, err := run.Run(t.Context())
+			c.Assert(err, qt.IsNil)
+			text, err := json.Marshal(report)
+			c.Assert(err, qt.IsNil)
+			c.Assert(report.Findings, qt.HasLen, 0, qt.Commentf("%s", text))
+			for _, rule := range []string{"asked", "once", "proof", "reads", "unmixed", "values"} {
+				c.Assert(report.Checked[rule] > 0, qt.IsTrue, qt.Commentf("%s was never checked", rule))
+			}
+		})
+	}
+}
