Wait out a VM that goes by replicas, in a test, and aim the soak at primaries

TestLonelyVMIsWaitedOut: a VM that has heard no keeper for 4 s writes by the replicas' reports; a promotion has to wait them out.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,7 +73,7 @@
 	})},
 	{"databaseCut", false, 5 * time.Second, cutDatabase},
 	{"connectionsReset", false, 0, func(_ context.Context, fleet *fleet, pick *rand.Rand, _ time.Duration) error {
-		return fleet.databases[pick.IntN(len(fleet.databases))].ResetAll()
+		return fleet.anyDatabase(pick).ResetAll()
 	}},
 	{"storeDown", false, 5 * time.Second, onStore(platform.StoreDown)},
 	{"storeResets", false, 5 * time.Second, onStore(platform.StoreResets)},
@@ -205,8 +205,25 @@
 	return err
 }
 
-func crash(ctx context.Context, fleet *fleet, pick *rand.Rand, lasts time.Duration) error {
+// anyDatabase returns a primary half of the time: its faults are the ones that
+// move terms.
+func (fleet *fleet) anyDatabase(pick *rand.Rand) *platform.StandDatabase {
 	database := fleet.databases[pick.IntN(len(fleet.databases))]
+	if pick.IntN(2) == 0 {
+		return database
+	}
+	id := database.Upstream.Primary()
+	at := slices.IndexFunc(fleet.databases, func(other *platform.StandDatabase) bool {
+		return other.Upstream == database.Upstream && other.ID == id
+	})
+	if at < 0 {
+		return database
+	}
+	return fleet.databases[at]
+}
+
+func crash(ctx context.Context, fleet *fleet, pick *rand.Rand, lasts time.Duration) error {
+	database := fleet.anyDatabase(pick)
 	if err := database.Stop(); err != nil {
 		return err
 	}
@@ -221,7 +238,7 @@
 
 func onDatabase(set func(stand *fakeup.Database, isOn bool)) apply {
 	return func(ctx context.Context, fleet *fleet, pick *rand.Rand, lasts time.Duration) error {
-		database := fleet.databases[pick.IntN(len(fleet.databases))]
+		database := fleet.anyDatabase(pick)
 		database.Upstream.Do(database.ID, func(stand *fakeup.Database) { set(stand, true) })
 		sleep(ctx, lasts)
 		database.Upstream.Do(database.ID, func(stand *fakeup.Database) { set(stand, false) })
@@ -231,13 +248,10 @@
 	}
 }
 
-// cutDatabase cuts a primary, or another database, off from some VMs.
+// cutDatabase cuts a database off from some VMs.
 func cutDatabase(ctx context.Context, fleet *fleet, pick *rand.Rand, lasts time.Duration) error {
-	database := fleet.databases[pick.IntN(len(fleet.databases))]
+	database := fleet.anyDatabase(pick)
 	id := database.ID
-	if pick.IntN(2) == 0 {
-		id = database.Upstream.Primary()
-	}
 	cut := make(map[string]bool)
 	for _, vm := range fleet.vms {
 		cut[vm.name] = pick.IntN(2) == 0
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -397,6 +397,34 @@
 	})
 }
 
+// Rule 7: a VM that has long gone by what replicas report is waited out too, though
+// its grant ended before.
+func TestLonelyVMIsWaitedOut(t *testing.T) {
+	within(t, func(c *qt.C, fleet *fleet) {
+		lonely := fleet.other()
+		fleet.packets.mu.Lock()
+		fleet.packets.cut[lonely.vm.Address] = true
+		fleet.packets.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		c.Assert(lonely.tryWrite(), qt.Equals, wires.OK)
+		cut := map[string]bool{}
+		for _, vm := range fleet.vms {
+			cut[vm.name] = vm != lonely
+		}
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
+		for range 600 {
+			led := fleet.upstream.Primary()
+			before := len(fleet.upstream.Runs())
+			if lonely.tryWrite() == wires.OK {
+				runs := fleet.upstream.Runs()[before:]
+				c.Assert(runs[len(runs)-1].Database == "a" && led != "a", qt.IsFalse)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		c.Assert(fleet.upstream.Primary(), qt.Not(qt.Equals), "a")
+	})
+}
+
 // Rules 9 and 19: the loss of the keeper, and of the store, leaves writes alone.
 func TestKeeperAndStoreLost(t *testing.T) {
 	within(t, func(c *qt.C, fleet *fleet) {
