Confirm a write once a replica has received it

Ruled out: a replica that was passed over (all that were reached were sealed, the one with the most was promoted).

A write is now confirmed when a replica is known to have it: by the position in its answers, or by a STATUS, one at a time and group.

A promotion of a replica is still asynchronous to VMs that hold grants; what they were told is now true.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -118,6 +118,8 @@
 	primary      string
 	termStart    posn.Position
 	grantedUntil time.Time
+	// keeperSaw is when the keeper last saw the primary.
+	keeperSaw time.Time
 	// token is the fence of the last keeper that granted or revoked.
 	token     uint64
 	revokedAt time.Time
--- a/dbset/grant.go
+++ b/dbset/grant.go
@@ -36,10 +36,22 @@
 	}
 	group.extend(asked.Add(GrantFor), asked)
 	if !grant.Position.IsZero() {
-		group.observe(grant.Position, asked.Add(-grant.Age))
+		seen := asked.Add(-grant.Age)
+		group.observe(grant.Position, seen)
+		if seen.After(group.keeperSaw) {
+			group.keeperSaw = seen
+		}
 	}
 }
 
+// KeeperSaw returns when the keeper had itself seen the primary, as far as its
+// grants tell.
+func (group *Group) KeeperSaw() time.Time {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return group.keeperSaw
+}
+
 // Offer returns the grant that the group's keeper gives, if it knows a primary.
 func (group *Group) Offer(now time.Time) (Grant, bool) {
 	group.mu.Lock()
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -24,6 +24,7 @@
 	"github.com/bramleydoor/bramleydoor/conset"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/kept"
 	"github.com/bramleydoor/bramleydoor/stats"
 	"github.com/bramleydoor/bramleydoor/wires"
 )
@@ -42,9 +43,11 @@
 	Config *config.Holder
 	Groups Groups
 	Links  *conset.Set
-	Clock  clock.Clock
-	Log    *event.Log
-	Stats  *stats.Stats
+	// Receipts tells what replicas have received; nil confirms without asking.
+	Receipts *kept.Receipts
+	Clock    clock.Clock
+	Log      *event.Log
+	Stats    *stats.Stats
 
 	phase    atomic.Int32
 	mu       sync.Mutex
--- a/engine/single.go
+++ b/engine/single.go
@@ -6,6 +6,7 @@
 	"github.com/bramleydoor/bramleydoor/config"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/kept"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/wires"
 )
@@ -20,6 +21,9 @@
 	busyPause = 10 * time.Millisecond
 	// confirmWait bounds the wait for a grant after a write was answered.
 	confirmWait = 500 * time.Millisecond
+	// receiptShare of receiptOf of the time that is left may be spent on the wait
+	// for a replica's receipt.
+	receiptShare, receiptOf = 4, 5
 	// leastAttempt is the shortest time that a read is given at one database.
 	leastAttempt = 250 * time.Millisecond
 )
@@ -128,9 +132,13 @@
 	return attempt.confirm(answer, leads, term), ""
 }
 
-// confirm checks that the database still led after it had committed (rule 7).
+// confirm checks that a replica has received the commit, and that the database
+// still led after that (rule 7).
 func (attempt *attempt) confirm(answer wires.Answer, leads dbset.Member, term uint64) wires.Answer {
 	engine := attempt.session.engine
+	if !attempt.isKept(answer.Position) {
+		return attempt.inDoubt(leads.ID, "noReceipt")
+	}
 	until := engine.now().Add(confirmWait)
 	for {
 		changed := attempt.group.Changed()
@@ -149,6 +157,27 @@
 	}
 }
 
+// isKept waits until a replica has a commit, as far as databases don't do so
+// themselves, and reports whether it may be confirmed.
+func (attempt *attempt) isKept(position posn.Position) bool {
+	engine := attempt.session.engine
+	if engine.Receipts == nil || position.IsZero() || engine.Config.Load().Upstreams[attempt.group.Name].SyncReplicas > 0 {
+		return true
+	}
+	switch engine.Receipts.Await(attempt.group, position, attempt.remaining()*receiptShare/receiptOf) {
+	case kept.Received:
+		engine.Stats.Receipts.Add("received", 1)
+	case kept.Alone:
+		engine.Stats.Receipts.Add("alone", 1)
+		engine.Log.Write(event.ConfirmedAlone, event.Fields{
+			"request": attempt.call.ID, "group": attempt.group.Name, "position": position.String(), "afterMs": attempt.after(),
+		})
+	case kept.Doubtful:
+		return false
+	}
+	return true
+}
+
 func (attempt *attempt) inDoubt(slot, reason string) wires.Answer {
 	attempt.session.engine.Stats.Refusals.Add("inDoubt", 1)
 	attempt.session.engine.Log.Write(event.UncertainOutcome, event.Fields{
--- a/event/event.go
+++ b/event/event.go
@@ -29,6 +29,7 @@
 	UncertainOutcome ID = 2004
 	RequestRefused   ID = 2005
 	RequestRetried   ID = 2006
+	ConfirmedAlone   ID = 2007
 	PrimarySuspected ID = 3001
 	PromotionBegun   ID = 3002
 	PromotionDone    ID = 3003
@@ -79,6 +80,7 @@
 	{UncertainOutcome, logrus.WarnLevel, "Outcome unknown", "A request failed after dispatch. Its caller was told so and can ask by request key.", []string{"request", "database", "group", "slot", "reason", "term", "error"}, "0.1"},
 	{RequestRefused, logrus.InfoLevel, "Request refused", "A request was given up. Unless the code is unknown or inDoubt, nothing of it is kept; the reason is a counter's name.", []string{"request", "database", "code", "reason", "attempt", "afterMs"}, "0.2"},
 	{RequestRetried, logrus.InfoLevel, "Request retried", "A request that did not run, or a read, is sent again. Dispatch says whether the attempt was not sent (notDispatched), its fate is known, or unknown.", []string{"request", "group", "slot", "reason", "dispatch", "attempt", "afterMs"}, "0.2"},
+	{ConfirmedAlone, logrus.WarnLevel, "Confirmed without a receipt", "A write was confirmed though no replica was known to have it: were the primary lost just then, the write would be too. Many of them mean that replicas receive nothing.", []string{"request", "group", "position", "afterMs"}, "0.2"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The keeper has not heard from the primary for longer than its delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
 	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The keeper asks a majority of slots to seal a new term.", []string{"group", "term", "cause"}, "0.1"},
 	{PromotionDone, logrus.WarnLevel, "Promotion done", "A new primary leads the group.", []string{"group", "term", "slot", "position", "sealed", "allRevoked", "sealMs", "revokeMs", "tookMs"}, "0.1"},
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -16,6 +16,9 @@
 	Retries  expvar.Map
 	// Routes counts reads by the reason they went where they went.
 	Routes expvar.Map
+	// Receipts counts writes that were confirmed, by whether a replica was known to
+	// have them.
+	Receipts expvar.Map
 	// Latency has the times of answers.
 	Latency Latency
 	// Sessions counts callers that are connected now.
@@ -51,6 +54,7 @@
 	all.Set("refusals", &stats.Refusals)
 	all.Set("retries", &stats.Retries)
 	all.Set("routes", &stats.Routes)
+	all.Set("receipts", &stats.Receipts)
 	all.Set("sessions", &stats.Sessions)
 	all.Set("requests", &stats.Requests)
 	all.Set("commits", &stats.Commits)
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -26,6 +26,7 @@
 	"github.com/bramleydoor/bramleydoor/engine"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/grants"
+	"github.com/bramleydoor/bramleydoor/kept"
 	"github.com/bramleydoor/bramleydoor/kernel"
 	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/stats"
@@ -138,6 +139,7 @@
 	vm.links = &conset.Set{Dialer: vm.Dialer, Clock: vm.Clock, Limit: vm.share}
 	vm.engine = &engine.Engine{
 		Config: &vm.config, Groups: vm, Links: vm.links, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
+		Receipts: &kept.Receipts{Links: vm.links, Clock: vm.Clock},
 	}
 	vm.duty = &duty.Holder{
 		Store: vm.Store, Clock: vm.Clock, Log: vm.Log,
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -425,6 +425,46 @@
 	})
 }
 
+// Rules 7 and 8: what is confirmed is not rolled back when a primary is lost that its
+// replicas have not heard for a while.
+func TestConfirmedIsKept(t *testing.T) {
+	for name, failing := range map[string]func(fleet *fleet){
+		"primary stops beside deaf replicas": func(fleet *fleet) {
+			time.AfterFunc(500*time.Millisecond, func() {
+				fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = true })
+			})
+		},
+		"keeper is cut off with the replicas": func(fleet *fleet) {
+			cut := map[string]bool{fleet.keeper().name: true}
+			fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			within(t, func(c *qt.C, fleet *fleet) {
+				for _, replica := range []string{"b", "c"} {
+					fleet.upstream.Do(replica, func(database *fakeup.Database) { database.IsDeaf = true })
+				}
+				failing(fleet)
+				var confirmed int
+				for range 40 {
+					if fleet.other().tryWrite() == wires.OK {
+						confirmed++
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				c.Assert(fleet.upstream.Primary(), qt.Not(qt.Equals), "a")
+				var kept int
+				for _, run := range fleet.upstream.Runs() {
+					if !run.Committed.IsZero() && (run.Committed.Term > 1 || fleet.upstream.Terms()[0].Start.AtLeast(run.Committed)) {
+						kept++
+					}
+				}
+				c.Assert(confirmed <= kept, qt.IsTrue, qt.Commentf("%d confirmed, %d kept", confirmed, kept))
+			})
+		})
+	}
+}
+
 // Rules 9 and 19: the loss of the keeper, and of the store, leaves writes alone.
 func TestKeeperAndStoreLost(t *testing.T) {
 	within(t, func(c *qt.C, fleet *fleet) {
