Ask replicas for receipts only where they have room; seal silent ones again

They are asked after all callers, where connections are scarce only on an open one; if none has room and the keeper has seen the primary in the last 1.5 s, the write does not wait.

A replica known to have more than the sealed ones is tried again for 1.2 s (TestSilentReplicaIsTriedAgain: promoted b before, c now).

--- a/conset/set.go
+++ b/conset/set.go
@@ -77,6 +77,12 @@
 	return len(pool.idle) > 0
 }
 
+// IsScarce reports whether the VM may have only few connections to a database.
+func (set *Set) IsScarce(id string) bool {
+	pool := set.Pool(id)
+	return pool != nil && pool.Limit() < plenty
+}
+
 // Close closes all pools.
 func (set *Set) Close() { set.SetMembers(nil) }
 
--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -51,7 +51,7 @@
 	leads, hasPrimary := group.granted(query.Now)
 	hasPrimary = hasPrimary && !query.Exclude[leads.ID]
 	if replica != nil {
-		if hasPrimary && group.cost(group.members[leads.ID])+primaryPenalty < cost {
+		if hasPrimary && group.cost(group.members[leads.ID], query.Now)+primaryPenalty < cost {
 			return Choice{Member: leads, Reason: PrimaryCheaper}
 		}
 		return Choice{Member: replica.Member, Floor: floor, Reason: ToReplica}
@@ -106,7 +106,7 @@
 		if !hasFloor || !candidate.reaches(floor, floorAt, query.Now) && !candidate.isWorthTrying(query.Now) {
 			continue
 		}
-		if cost := group.cost(candidate); best == nil || cost < bestCost {
+		if cost := group.cost(candidate, query.Now); best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -149,9 +149,12 @@
 	return now.Sub(member.lagAt) >= relearnLag
 }
 
-func (group *Group) cost(member *member) time.Duration {
+func (group *Group) cost(member *member, now time.Time) time.Duration {
 	slots := max(member.Slots, 1)
-	waiting := max(member.inFlight, member.report.Busy)
+	waiting := member.inFlight
+	if now.Sub(member.reportedAt) <= busyFor {
+		waiting = max(waiting, member.report.Busy)
+	}
 	cost := member.latency * time.Duration(slots+waiting) / time.Duration(slots)
 	if member.Zone != group.Zone {
 		cost += farPenalty
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -51,6 +51,9 @@
 	avoidFor = 500 * time.Millisecond
 	// relearnLag is how often one read tries a replica that was far behind.
 	relearnLag = 400 * time.Millisecond
+	// busyFor is how long a report tells how busy a database is: the work of a
+	// moment is done in some tens of ms.
+	busyFor = 50 * time.Millisecond
 	// unknownLag is assumed for a replica of which no lag is known.
 	unknownLag = 60 * time.Millisecond
 )
--- a/dbset/dbset_test.go
+++ b/dbset/dbset_test.go
@@ -157,6 +157,22 @@
 	}
 }
 
+// How busy a database was counts only as long as that may still be so.
+func TestOldReportsOfWork(t *testing.T) {
+	c := qt.New(t)
+	group := granted()
+	for _, id := range []string{"b", "c"} {
+		for ms := range 40 {
+			group.Done(id, position(1, 1), at(ms), at(ms+20))
+		}
+		group.Report(id, dbset.Report{Term: 1, Received: position(1, 1), Busy: 12}, at(90), at(100))
+	}
+	query := dbset.Query{MaxAge: 5 * time.Second, Arrived: at(110), Now: at(110)}
+	c.Assert(group.Choose(query).Reason, qt.Equals, dbset.PrimaryCheaper)
+	query.Arrived, query.Now = at(400), at(400)
+	c.Assert(group.Choose(query).Reason, qt.Equals, dbset.ToReplica)
+}
+
 // A replica that was far behind is tried by one read again and again, and used
 // once it has caught up.
 func TestLagIsLearnedAnew(t *testing.T) {
--- a/kept/kept.go
+++ b/kept/kept.go
@@ -9,8 +9,11 @@
 //     and about to be replaced. A write without a receipt is in doubt unless the
 //     keeper has seen the primary after it; that holds for longer than it takes to
 //     find a primary silent and to end the last grant for it.
-//  20. If it is not replaced, writes go on: each waits for a moment, and if its
-//     primary still answers, it is confirmed without a receipt, and counted.
+//  15. A replica is asked only if it has room beyond what callers want of it, and
+//     where connections are scarce, only on an open one. Where that is why there is
+//     no receipt, writes don't wait for it.
+//  20. If a primary is not replaced, writes go on: each waits for a moment, and if it
+//     still answers, they are confirmed without a receipt, and counted.
 package kept
 
 import (
@@ -29,6 +32,9 @@
 	// firstWait is the longest wait for a receipt; replicas that receive at all do so
 	// in milliseconds, but a full one answers late.
 	firstWait = 800 * time.Millisecond
+	// freshFor is how lately the keeper must have seen the primary for writes not to
+	// wait for replicas that are too busy to be asked.
+	freshFor = 1500 * time.Millisecond
 	// laterWait is the wait once none has come for goesOn, which is a grant's time
 	// more: the replicas then receive nothing, and the primary stays.
 	laterWait = 30 * time.Millisecond
@@ -72,6 +78,8 @@
 	mu sync.Mutex
 	// asking is closed when the question under way has its answer.
 	asking chan struct{}
+	// last is what came of the last question.
+	last answer
 	// turn counts questions that brought no receipt: the next goes to another.
 	turn int
 	// noneSince is when the first receipt of those in a row was missed.
@@ -100,7 +108,10 @@
 			}
 			return receipts.alone(group)
 		}
-		receipts.ask(desk, group, until.Sub(now))
+		got := receipts.ask(desk, group, until.Sub(now))
+		if got == busy && now.Sub(group.KeeperSaw()) <= freshFor {
+			return receipts.alone(group)
+		}
 		if !group.IsReceived(position) {
 			<-receipts.Clock.After(min(pause, max(until.Sub(receipts.Clock.Now()), 0)))
 		}
@@ -163,43 +174,80 @@
 }
 
 // ask asks one replica, or waits for the question that is under way.
-func (receipts *Receipts) ask(desk *desk, group *dbset.Group, patience time.Duration) {
+func (receipts *Receipts) ask(desk *desk, group *dbset.Group, patience time.Duration) answer {
 	desk.mu.Lock()
 	if under := desk.asking; under != nil {
 		desk.mu.Unlock()
 		select {
 		case <-under:
+			return desk.answered()
 		case <-receipts.Clock.After(patience):
+			return noNews
 		}
-		return
 	}
 	answered := make(chan struct{})
 	desk.asking = answered
 	turn := desk.turn
 	desk.mu.Unlock()
-	hasNews := receipts.askOne(group, turn, min(patience, askWait))
+	got := receipts.askAny(group, turn, min(patience, askWait))
 	desk.mu.Lock()
 	defer desk.mu.Unlock()
-	if !hasNews {
+	if got != news {
 		desk.turn++
 	}
-	desk.asking = nil
+	desk.last, desk.asking = got, nil
 	close(answered)
+	return got
 }
 
-// askOne reports whether the replica whose turn it is has received more than was
-// known.
-func (receipts *Receipts) askOne(group *dbset.Group, turn int, timeout time.Duration) bool {
+func (desk *desk) answered() answer {
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	return desk.last
+}
+
+// answer is what came of a question.
+type answer int
+
+const (
+	// news says that the replica had received more than was known, noNews that it
+	// had not, or did not answer, busy that none had room for the question.
+	news answer = iota
+	noNews
+	busy
+)
+
+// askAny asks the first replica that has room, beginning with the one whose turn it
+// is.
+func (receipts *Receipts) askAny(group *dbset.Group, turn int, timeout time.Duration) answer {
 	replicas := group.Receivers(receipts.Clock.Now())
+	for i := range replicas {
+		if got := receipts.askOne(group, replicas[(turn+i)%len(replicas)].ID, timeout); got != busy {
+			return got
+		}
+	}
 	if len(replicas) == 0 {
-		return false
+		return noNews
+	}
+	return busy
+}
+
+func (receipts *Receipts) askOne(group *dbset.Group, id string, timeout time.Duration) answer {
+	if receipts.Links.IsScarce(id) && !receipts.Links.IsWarm(id) {
+		return busy
 	}
-	pool := receipts.Links.Pool(replicas[turn%len(replicas)].ID)
+	pool := receipts.Links.Pool(id)
 	if pool == nil {
-		return false
+		return noNews
 	}
 	before := group.Received()
 	// The group keeps the outcome, and its failures.
-	report, err := promo.Ask(group, pool, receipts.Clock, wires.Inquire{}, timeout)
-	return err == nil && report.Received != before && report.Received.AtLeast(before)
+	report, err := promo.AskIfFree(group, pool, receipts.Clock, timeout)
+	switch {
+	case promo.IsBusy(err):
+		return busy
+	case err == nil && report.Received != before && report.Received.AtLeast(before):
+		return news
+	}
+	return noNews
 }
--- a/kept/kept_test.go
+++ b/kept/kept_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/conset"
 	"github.com/bramleydoor/bramleydoor/dbset"
@@ -138,6 +139,54 @@
 	}
 }
 
+// A service at the limit of its slots: a write does not wait long for replicas that
+// callers keep busy, as long as the keeper sees the primary.
+func TestBusyReplicas(t *testing.T) {
+	for name, test := range map[string]struct {
+		keeperSees bool
+		want       kept.Outcome
+		within     time.Duration
+	}{
+		"keeper sees the primary": {true, kept.Alone, 150 * time.Millisecond},
+		"keeper does not":         {false, kept.Doubtful, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			within(t, func(c *qt.C, bed *bed) {
+				bed.keeperSees.Store(test.keeperSees)
+				time.Sleep(1800 * time.Millisecond)
+				var held []*conset.Link
+				for _, id := range []string{"b", "c"} {
+					bed.upstream.Do(id, func(database *fakeup.Database) { database.IsDeaf = true })
+					for range 4 {
+						link, err := bed.receipts.Links.Pool(id).Get(admit.Want{Patience: time.Second}, nil)
+						c.Assert(err, qt.IsNil)
+						held = append(held, link)
+					}
+				}
+				outcome, took := bed.await(bed.write(c))
+				c.Assert(outcome, qt.Equals, test.want)
+				c.Assert(took <= test.within, qt.IsTrue, qt.Commentf("%s", took))
+				for _, link := range held {
+					link.Put()
+				}
+			})
+		})
+	}
+}
+
+// Where connections are scarce, none is opened for a receipt.
+func TestScarceConnections(t *testing.T) {
+	within(t, func(c *qt.C, bed *bed) {
+		bed.receipts.Links.Limit = func(string) int { return 1 }
+		outcome, took := bed.await(bed.write(c))
+		c.Assert(outcome, qt.Equals, kept.Alone)
+		c.Assert(took < 50*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
+		for _, id := range []string{"b", "c"} {
+			bed.upstream.Do(id, func(database *fakeup.Database) { c.Assert(database.Opened, qt.Equals, 0) })
+		}
+	})
+}
+
 // Many writes share a question.
 func TestShared(t *testing.T) {
 	within(t, func(c *qt.C, bed *bed) {
--- a/promo/ask.go
+++ b/promo/ask.go
@@ -12,17 +12,37 @@
 	"github.com/bramleydoor/bramleydoor/wires"
 )
 
-// controlPriority goes before the requests of callers.
-const controlPriority = -1
+const (
+	// controlPriority goes before the requests of callers, sparePriority after them.
+	controlPriority = -1
+	sparePriority   = 1000
+	// spareWait is how long a spare request waits for room, or for a connection.
+	spareWait = 50 * time.Millisecond
+)
 
 // ErrBusy says that the database had no room for a control request.
 var ErrBusy = errors.New("database refused the control request")
 
 // Ask makes one control request and takes the report in the answer.
 func Ask(group *dbset.Group, pool *conset.Pool, clock clock.Clock, request wires.Request, timeout time.Duration) (dbset.Report, error) {
+	want := admit.Want{Priority: controlPriority, Patience: timeout, ShortPatience: timeout}
+	return ask(group, pool, clock, request, want, timeout)
+}
+
+// AskIfFree asks for a report if the database has room beyond what callers want of
+// it; IsBusy tells that it has none.
+func AskIfFree(group *dbset.Group, pool *conset.Pool, clock clock.Clock, timeout time.Duration) (dbset.Report, error) {
+	want := admit.Want{Priority: sparePriority, Due: clock.Now(), Patience: spareWait}
+	return ask(group, pool, clock, wires.Inquire{}, want, timeout)
+}
+
+// IsBusy reports whether a database had no room for a control request.
+func IsBusy(err error) bool { return errors.Is(err, ErrBusy) || errors.Is(err, conset.ErrNoRoom) }
+
+func ask(group *dbset.Group, pool *conset.Pool, clock clock.Clock, request wires.Request, want admit.Want, timeout time.Duration) (dbset.Report, error) {
 	id := pool.Member.ID
 	began := clock.Now()
-	link, err := pool.Get(admit.Want{Priority: controlPriority, Patience: timeout, ShortPatience: timeout}, nil)
+	link, err := pool.Get(want, nil)
 	if err != nil {
 		if errors.Is(err, conset.ErrDial) || errors.Is(err, conset.ErrOther) {
 			group.Failed(id, conset.IsRefused(err), clock.Now())
--- a/promo/carry.go
+++ b/promo/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +34,7 @@
 	if cause == Leaving {
 		keeper.demote(state, term)
 	}
-	seals := keeper.seal(state, term)
+	seals := keeper.sealAll(state, term)
 	sealedAt := keeper.Clock.Now()
 	best, ok := mostReceived(seals)
 	if !ok {
@@ -97,11 +98,46 @@
 	return false
 }
 
-// seal seals all replicas at once.
-func (keeper *Keeper) seal(state dbset.State, term uint64) []sealed {
+// sealAll seals the replicas, and again those that did not answer while one of them
+// may have commits that no sealed one has: a database that fails part of its requests,
+// or is full, must not be passed over.
+func (keeper *Keeper) sealAll(state dbset.State, term uint64) []sealed {
+	until := keeper.Clock.Now().Add(sealWait)
+	known := keeper.Group.Received()
+	seals := keeper.seal(state, term, nil)
+	for keeper.lacks(state, seals, known) && keeper.Clock.Now().Before(until) {
+		<-keeper.Clock.After(lookEvery)
+		seals = keeper.seal(state, term, seals)
+	}
+	return seals
+}
+
+// lacks reports whether no sealed replica has all that one of them was known to have
+// received, and one that is not sealed may be reached.
+func (keeper *Keeper) lacks(state dbset.State, seals []sealed, known posn.Position) bool {
+	if best, ok := mostReceived(seals); ok && best.report.Received.AtLeast(known) {
+		return false
+	}
+	for _, member := range keeper.Group.State().Members {
+		if member.ID != state.Primary && !member.Leaving && member.Refusals == 0 && !isSealed(seals, member.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func isSealed(seals []sealed, id string) bool {
+	return slices.ContainsFunc(seals, func(seal sealed) bool { return seal.member.ID == id })
+}
+
+// seal seals all replicas at once that are not sealed yet.
+func (keeper *Keeper) seal(state dbset.State, term uint64, seals []sealed) []sealed {
 	var mu sync.Mutex
-	var seals []sealed
+	done := slices.Clone(seals)
 	keeper.each(state, func(member dbset.MemberState) {
+		if isSealed(done, member.ID) {
+			return
+		}
 		report, err := keeper.control(member.ID, wires.Seal{Term: term})
 		if err != nil || report.Primary {
 			return
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -5,7 +5,7 @@
 //
 //  8. All replicas that can be reached are sealed first; the one that received
 //     the most is promoted. An acknowledged commit that any of them received is
-//     kept.
+//     kept. One that is known to have more than the sealed ones is tried for a while.
 //  9. A promotion is ordered only while the VM holds the duty, with its token.
 //  10. A slow primary is not a dead one: it has to leave several requests in a
 //     row unanswered. A promotion that has no candidate is not begun.
@@ -79,6 +79,8 @@
 	noneFor = 300 * time.Millisecond
 	// askWait bounds one control request to a database.
 	askWait = 400 * time.Millisecond
+	// sealWait bounds the sealing of replicas that don't answer at first: a few tries.
+	sealWait = 1200 * time.Millisecond
 	// catchUpWait bounds the wait for replicas of a demoted primary.
 	catchUpWait = 300 * time.Millisecond
 	// grantMargin is added to the wait for grants to run out.
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -333,6 +333,26 @@
 	})
 }
 
+// Rule 8: a replica that is known to have more than the others is not passed over
+// because it leaves the first requests to seal it unanswered.
+func TestSilentReplicaIsTriedAgain(t *testing.T) {
+	within(t, func(c *qt.C, fleet *fleet) {
+		fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDeaf = true })
+		for range 20 {
+			c.Assert(fleet.other().tryWrite(), qt.Equals, wires.OK)
+			c.Assert(fleet.keeper().tryWrite(), qt.Equals, wires.OK)
+		}
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = true })
+		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsDark = true })
+		time.AfterFunc(900*time.Millisecond, func() {
+			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsDark = false })
+		})
+		gap := fleet.other().gap()
+		c.Assert(fleet.upstream.Primary(), qt.Equals, "c")
+		c.Assert(gap < 3*time.Second, qt.IsTrue, qt.Commentf("gap %s", gap))
+	})
+}
+
 // Rule 18: a primary that leaves is replaced without a write in doubt.
 func TestPrimaryLeaves(t *testing.T) {
 	within(t, func(c *qt.C, fleet *fleet) {
