Find a failed request by its transaction, and by its VM and time

Lines of a transaction's statements now name the request that opened it, explain finds either, and explain --vm --at shows what the VM wrote before and after, and what happened around that time.

--- a/cliapp/explain.go
+++ b/cliapp/explain.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/bramleydoor/bramleydoor/trace"
@@ -14,7 +16,11 @@
 		Name:      "explain",
 		Usage:     "print what logs say of one request",
 		ArgsUsage: "REQUEST [FILE...]",
-		Action:    runExplain,
+		Flags: []cli.Flag{
+			stringFlag("vm", "", "VM that the request was sent to; with --at, for a request without a line"),
+			stringFlag("at", "", "when it was sent, in RFC 3339"),
+		},
+		Action: runExplain,
 	}
 }
 
@@ -24,28 +30,37 @@
 	if request == "" {
 		return badInput("explain needs the id of a request")
 	}
-	files := command.Args().Tail()
+	lines, err := readLogs(command.Args().Tail())
+	if err != nil {
+		return err
+	}
+	writer := command.Root().Writer
+	err = trace.Explain(writer, request, lines)
+	if !errors.Is(err, trace.ErrNoLine) || command.String("vm") == "" {
+		return err
+	}
+	at, err := time.Parse(time.RFC3339Nano, command.String("at"))
+	if err != nil {
+		return badInput("--at: %s", err)
+	}
+	return trace.ExplainPlace(writer, trace.Place{VM: command.String("vm"), At: at}, lines)
+}
+
+func readLogs(files []string) ([]trace.LogLine, error) {
 	if len(files) == 0 {
-		lines, err := trace.ReadLog(os.Stdin)
-		if err != nil {
-			return err
-		}
-		return trace.Explain(command.Root().Writer, request, lines)
+		return trace.ReadLog(os.Stdin)
 	}
 	var lines []trace.LogLine
 	for _, name := range files {
 		file, err := os.Open(name)
 		if err != nil {
-			return &inputError{err}
+			return nil, &inputError{err}
 		}
 		read, err := trace.ReadLog(file)
-		if closeErr := file.Close(); err == nil {
-			err = closeErr
-		}
-		if err != nil {
-			return err
+		if err := errors.CombineErrors(err, file.Close()); err != nil {
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
-	return trace.Explain(command.Root().Writer, request, lines)
+	return lines, nil
 }
--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -27,6 +27,8 @@
 	route   config.Route
 	group   *dbset.Group
 	arrived time.Time
+	// opening is the request that opened the transaction; empty for none.
+	opening string
 	tries   int
 	exclude map[string]bool
 	// hasNoRoom says that a database's queue was too long.
@@ -37,6 +39,7 @@
 	return &attempt{
 		session: session, call: call, route: route,
 		group: session.engine.Groups.Group(route.Upstream), arrived: session.engine.now(),
+		opening: session.opening(),
 	}
 }
 
@@ -192,10 +195,10 @@
 
 func (attempt *attempt) retried(member dbset.Member, reason string) {
 	attempt.session.engine.Stats.Retries.Add(reason, 1)
-	attempt.session.engine.Log.Write(event.RequestRetried, event.Fields{
+	attempt.session.engine.Log.Write(event.RequestRetried, withOpening(event.Fields{
 		"request": attempt.call.ID, "group": attempt.group.Name, "slot": member.ID, "reason": reason,
 		"dispatch": dispatchOf(reason), "attempt": attempt.tries, "afterMs": attempt.after(),
-	})
+	}, attempt.opening))
 }
 
 func (attempt *attempt) leads(id string) bool {
--- a/engine/session.go
+++ b/engine/session.go
@@ -238,10 +238,11 @@
 func (session *Session) refuseAfter(attempt *attempt, call wires.Call, code wires.Code, reason string) wires.Answer {
 	session.engine.Stats.Refusals.Add(reason, 1)
 	fields := event.Fields{"request": call.ID, "database": session.database, "code": code.String(), "reason": reason}
+	opening := session.opening()
 	if attempt != nil {
-		fields["attempt"], fields["afterMs"] = attempt.tries, attempt.after()
+		fields["attempt"], fields["afterMs"], opening = attempt.tries, attempt.after(), attempt.opening
 	}
-	session.engine.Log.Write(event.RequestRefused, fields)
+	session.engine.Log.Write(event.RequestRefused, withOpening(fields, opening))
 	text := reason
 	if code == wires.Busy {
 		text += " retryAfterMs=" + retryAfterText
@@ -249,6 +250,23 @@
 	return wires.Answer{Code: code, Text: text}
 }
 
+// opening is the request that opened the session's transaction, by which its caller
+// may know all of it; empty for none.
+func (session *Session) opening() string {
+	if session.tx == nil {
+		return ""
+	}
+	return session.tx.id
+}
+
+// withOpening adds it to the fields of a line.
+func withOpening(fields event.Fields, opening string) event.Fields {
+	if opening != "" {
+		fields["transaction"] = opening
+	}
+	return fields
+}
+
 // committed notes a commit's position for the session's later reads.
 func (session *Session) committed(group string, position posn.Position) {
 	if known := session.own[group]; !known.position.AtLeast(position) || known.position.IsZero() {
--- a/engine/single.go
+++ b/engine/single.go
@@ -169,9 +169,9 @@
 		engine.Stats.Receipts.Add("received", 1)
 	case kept.Alone:
 		engine.Stats.Receipts.Add("alone", 1)
-		engine.Log.Write(event.ConfirmedAlone, event.Fields{
+		engine.Log.Write(event.ConfirmedAlone, withOpening(event.Fields{
 			"request": attempt.call.ID, "group": attempt.group.Name, "position": position.String(), "afterMs": attempt.after(),
-		})
+		}, attempt.opening))
 	case kept.Doubtful:
 		return false
 	}
@@ -180,9 +180,9 @@
 
 func (attempt *attempt) inDoubt(slot, reason string) wires.Answer {
 	attempt.session.engine.Stats.Refusals.Add("inDoubt", 1)
-	attempt.session.engine.Log.Write(event.UncertainOutcome, event.Fields{
+	attempt.session.engine.Log.Write(event.UncertainOutcome, withOpening(event.Fields{
 		"request": attempt.call.ID, "database": attempt.session.database, "group": attempt.group.Name,
 		"slot": slot, "reason": reason, "term": attempt.group.Term(),
-	})
+	}, attempt.opening))
 	return wires.Answer{Code: wires.InDoubt, Text: reason}
 }
--- a/trace/explain.go
+++ b/trace/explain.go
@@ -21,6 +21,9 @@
 	maxLogLine = 1 << 20
 )
 
+// ErrNoLine says that a request has no line: it went as usual, or no VM had it.
+var ErrNoLine = errors.New("no line of these logs has it; a request that went as usual leaves none")
+
 // LogLine is one line of a VM's log.
 type LogLine struct {
 	Time  time.Time
@@ -70,6 +73,44 @@
 	return line, true
 }
 
+// Place is where and when a request was sent that left no line of its own.
+type Place struct {
+	VM string
+	At time.Time
+}
+
+// ExplainPlace writes what a VM wrote around a time, and how long it wrote nothing: a
+// request that no VM answered was lost with its VM or with the way there.
+func ExplainPlace(writer io.Writer, place Place, lines []LogLine) error {
+	slices.SortStableFunc(lines, func(a, b LogLine) int { return a.Time.Compare(b.Time) })
+	var before, after LogLine
+	for _, line := range lines {
+		switch {
+		case line.VM != place.VM:
+		case !line.Time.After(place.At):
+			before = line
+		case after.Event == 0:
+			after = line
+		}
+	}
+	if before.Event == 0 && after.Event == 0 {
+		return errors.Newf("these logs have no line of VM %q", place.VM)
+	}
+	if _, err := fmt.Fprintf(writer, "no line has this request; the lines of %s before and after:\n", place.VM); err != nil {
+		return err
+	}
+	for _, line := range []LogLine{before, after} {
+		if line.Event == 0 {
+			continue
+		}
+		if err := writeLine(writer, "    ", line); err != nil {
+			return err
+		}
+	}
+	at := LogLine{Time: place.At, VM: place.VM}
+	return writeAround(writer, []LogLine{at}, nil, lines)
+}
+
 // Explain writes what the logs say of one request: its attempts in order, the
 // dispatch state of each, what its VM last knew of the group, and the group's
 // events of that time on all VMs.
@@ -78,7 +119,7 @@
 	var attempts []LogLine
 	groups := make(map[string]bool)
 	for _, line := range lines {
-		if line.text("request") != request {
+		if line.text("request") != request && line.text("transaction") != request {
 			continue
 		}
 		attempts = append(attempts, line)
@@ -87,7 +128,7 @@
 		}
 	}
 	if len(attempts) == 0 {
-		return errors.Newf("no line of these logs has request %q; a request that went as usual leaves none", request)
+		return errors.Wrapf(ErrNoLine, "request %q", request)
 	}
 	for _, line := range attempts {
 		if err := writeLine(writer, "", line); err != nil {
@@ -132,7 +173,8 @@
 	return err
 }
 
-// writeAround writes events of the groups, and of dependencies, near the attempts.
+// writeAround writes events of the groups, nil for all, and of dependencies, near the
+// attempts.
 func writeAround(writer io.Writer, attempts []LogLine, groups map[string]bool, lines []LogLine) error {
 	from, to := attempts[0].Time.Add(-around), attempts[len(attempts)-1].Time.Add(around)
 	if _, err := fmt.Fprintf(writer, "around that time:\n"); err != nil {
@@ -142,7 +184,7 @@
 		if line.Time.Before(from) || line.Time.After(to) || !isBackground(line.Event) {
 			continue
 		}
-		if group := line.text("group"); group != "" && !groups[group] {
+		if group := line.text("group"); groups != nil && group != "" && !groups[group] {
 			continue
 		}
 		if err := writeLine(writer, "    ", line); err != nil {
@@ -155,7 +197,8 @@
 // isBackground reports whether an event tells of more than one request.
 func isBackground(id event.ID) bool {
 	switch id {
-	case event.GroupState, event.LinesLeftOut, event.RequestRefused, event.RequestRetried, event.UncertainOutcome:
+	case event.GroupState, event.LinesLeftOut, event.RequestRefused, event.RequestRetried, event.UncertainOutcome,
+		event.ConfirmedAlone:
 		return false
 	}
 	return true
--- a/trace/explain_test.go
+++ b/trace/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -34,5 +35,41 @@
 around that time:
     12:00:02.500 vm2 3002 Promotion begun: group=ledger term=2 cause=primarySilent
 `)
-	c.Assert(trace.Explain(&out, "5d", lines), qt.ErrorMatches, `no line of these logs has request "5d".*`)
+	c.Assert(trace.Explain(&out, "5d", lines), qt.ErrorIs, trace.ErrNoLine)
+}
+
+// A statement is found by the request that opened its transaction, too.
+func TestExplainTransaction(t *testing.T) {
+	c := qt.New(t)
+	lines, err := trace.ReadLog(strings.NewReader(
+		`{"event":2005,"request":"5f","transaction":"5e","database":"lepu","code":"aborted","reason":"answerLost","time":"2026-04-20T12:00:02.4Z","vm":"vm1"}`))
+	c.Assert(err, qt.IsNil)
+	var out strings.Builder
+	c.Assert(trace.Explain(&out, "5e", lines), qt.IsNil)
+	c.Assert(out.String(), qt.Equals, `12:00:02.400 vm1 2005 Request refused: transaction=5e database=lepu code=aborted reason=answerLost
+around that time:
+`)
+}
+
+// A request without a line is explained by what its VM wrote around its time.
+func TestExplainPlace(t *testing.T) {
+	c := qt.New(t)
+	lines, err := trace.ReadLog(strings.NewReader(`
+{"event":4002,"error":"x","time":"2026-04-20T12:00:01Z","vm":"vm1"}
+{"event":3002,"group":"ledger","cause":"primarySilent","term":2,"time":"2026-04-20T12:00:02Z","vm":"vm2"}
+{"event":1001,"address":"10.0.0.1","zone":"a","time":"2026-04-20T12:00:04Z","vm":"vm1"}
+`))
+	c.Assert(err, qt.IsNil)
+	var out strings.Builder
+	at := time.Date(2026, 4, 20, 12, 0, 2, 0, time.UTC)
+	c.Assert(trace.ExplainPlace(&out, trace.Place{VM: "vm1", At: at}, lines), qt.IsNil)
+	c.Assert(out.String(), qt.Equals, `no line has this request; the lines of vm1 before and after:
+    12:00:01.000 vm1 4002 Configuration refused: error=x
+    12:00:04.000 vm1 1001 VM started: address=10.0.0.1 zone=a
+around that time:
+    12:00:01.000 vm1 4002 Configuration refused: error=x
+    12:00:02.000 vm2 3002 Promotion begun: group=ledger term=2 cause=primarySilent
+    12:00:04.000 vm1 1001 VM started: address=10.0.0.1 zone=a
+`)
+	c.Assert(trace.ExplainPlace(&out, trace.Place{VM: "vm9", At: at}, lines), qt.ErrorMatches, `these logs have no line of VM "vm9"`)
 }
