--- a/cliapp/soak.go
+++ b/cliapp/soak.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/bramleydoor/bramleydoor/plot"
 	"github.com/bramleydoor/bramleydoor/soak"
 )
 
@@ -34,6 +35,7 @@
 			stringFlag("program", "", "program of a VM; the default is "+vmProgram+" beside this one"),
 			stringFlag("dir", "", "where settings and logs go, in a directory for each seed; the default is a temporary one"),
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON object for each seed"},
+			&cli.BoolFlag{Name: "plot", Usage: "draw each seed's throughput and latency beside its logs, as soak.png"},
 		},
 		Action: runSoak,
 	}
@@ -66,6 +68,11 @@
 			return errors.Wrapf(err, "seed %d", seed)
 		}
 		broken += len(report.Findings)
+		if command.Bool("plot") {
+			if err := plot.Draw(filepath.Join(run.Dir, "soak.png"), report.Series, nil); err != nil {
+				return err
+			}
+		}
 		if err := printSoak(command, report, run.Dir); err != nil {
 			return err
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/judge"
+	"github.com/bramleydoor/bramleydoor/load"
 	"github.com/bramleydoor/bramleydoor/wires"
 )
 
@@ -67,6 +68,8 @@
 	// RecoveryMS is how long the fleet took to serve everywhere after the faults.
 	LongestGapMS map[string]int64 `json:"longestGapMs"`
 	RecoveryMS   int64            `json:"recoveryMs"`
+	// Series has the requests of each second.
+	Series []load.Second `json:"series"`
 }
 
 // Run plays the seed and judges it. Without an error, the findings tell whether
@@ -157,6 +160,7 @@
 		}
 		report.Requests[string(op.Kind)+"."+outcome]++
 	}
+	report.Series = series(history.Ops)
 	for group, gap := range ledger.longest {
 		report.LongestGapMS[group] = gap.Milliseconds()
 	}
@@ -175,6 +179,30 @@
 	return report
 }
 
+// series counts the answers of each second, and their times in us.
+func series(ops []judge.Op) []load.Second {
+	var seconds []load.Second
+	for _, op := range ops {
+		if op.Kind == judge.Open {
+			continue
+		}
+		at := int(op.Ended.Sub(ops[0].Ended) / time.Second)
+		for len(seconds) <= at {
+			seconds = append(seconds, load.Second{})
+		}
+		if op.IsLost || op.Answer.Code != wires.OK {
+			seconds[max(at, 0)].Failed++
+			continue
+		}
+		took := op.Ended.Sub(op.Sent).Microseconds()
+		second := &seconds[max(at, 0)]
+		second.Done++
+		second.SumUs += took
+		second.MaxUs = max(second.MaxUs, took)
+	}
+	return seconds
+}
+
 // isTroubled reports whether a fault may have touched a request, or kept a
 // configuration from a VM.
 func isTroubled(op *judge.Op, spans []span) bool {
