--- /dev/null
+++ b/grants/grants_test.go
@@ -0,0 +1,246 @@
+package grants_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/grants"
+	"github.com/bramleydoor/bramleydoor/posn"
+)
+
+// air carries datagrams between agents, by IP address.
+type air struct {
+	mu    sync.Mutex
+	boxes map[string]chan []byte
+	cut   map[string]bool
+}
+
+func (air *air) cutOff(ip string, isCut bool) {
+	air.mu.Lock()
+	defer air.mu.Unlock()
+	air.cut[ip] = isCut
+}
+
+// socket is one agent's end.
+type socket struct {
+	net.PacketConn
+	air    *air
+	ip     string
+	box    chan []byte
+	closed chan struct{}
+}
+
+func (socket *socket) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	select {
+	case data := <-socket.box:
+		return copy(buffer, data), &net.UDPAddr{}, nil
+	case <-socket.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (socket *socket) WriteTo(data []byte, to net.Addr) (int, error) {
+	socket.air.mu.Lock()
+	defer socket.air.mu.Unlock()
+	ip := to.(*net.UDPAddr).IP.String()
+	if box, ok := socket.air.boxes[ip]; ok && !socket.air.cut[ip] && !socket.air.cut[socket.ip] {
+		box <- append([]byte(nil), data...)
+	}
+	return len(data), nil
+}
+
+func (socket *socket) Close() error {
+	close(socket.closed)
+	return nil
+}
+
+// holder is the duty as a test sets it.
+type holder struct {
+	mu    sync.Mutex
+	vm    string
+	name  string
+	token uint64
+}
+
+func (holder *holder) Holder() string {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	return holder.name
+}
+
+func (holder *holder) Holds(time.Duration) (uint64, bool) {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	return holder.token, holder.name == holder.vm
+}
+
+func (holder *holder) set(name string, token uint64) {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	holder.name, holder.token = name, token
+}
+
+// node is a VM with one group.
+type node struct {
+	ip    string
+	agent *grants.Agent
+	group *dbset.Group
+	duty  *holder
+}
+
+func (node *node) leads() string {
+	member, _ := node.group.Primary(time.Now())
+	return member.ID
+}
+
+// knows tells a node of the primary, as its own questions would.
+func (node *node) knows(term uint64, primary string) {
+	now := time.Now()
+	end := posn.Position{Term: term, LSN: 5}
+	node.group.Report(primary, dbset.Report{Primary: true, Term: term, Received: end}, now, now)
+	node.group.Show(term)
+}
+
+// run runs a test with three VMs of which the first holds the duty.
+func run(t *testing.T, test func(c *qt.C, air *air, nodes []*node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		air := &air{boxes: make(map[string]chan []byte), cut: make(map[string]bool)}
+		names := []string{"vm1@10.0.0.1", "vm2@10.0.0.2", "vm3@10.0.0.3"}
+		ctx, cancel := context.WithCancel(t.Context())
+		var nodes []*node
+		var running sync.WaitGroup
+		for _, name := range names {
+			node := newNode(air, name, names)
+			nodes = append(nodes, node)
+			running.Go(func() { _ = node.agent.Run(ctx) })
+		}
+		synctest.Wait()
+		nodes[0].knows(1, "a")
+		time.Sleep(time.Second)
+		test(qt.New(t), air, nodes)
+		cancel()
+		running.Wait()
+		synctest.Wait()
+	})
+}
+
+func newNode(air *air, name string, all []string) *node {
+	ip := name[len("vm1@"):]
+	box := make(chan []byte, 100)
+	air.mu.Lock()
+	air.boxes[ip] = box
+	air.mu.Unlock()
+	group := dbset.New("ledger", "zone-a")
+	group.SetMembers([]dbset.Member{{ID: "a", Zone: "zone-a", Slots: 3}, {ID: "b", Zone: "zone-a", Slots: 3}}, time.Now())
+	duty := &holder{vm: name, name: all[0], token: 1}
+	return &node{ip: ip, group: group, duty: duty, agent: &grants.Agent{
+		Conn: &socket{air: air, ip: ip, box: box, closed: make(chan struct{})},
+		VM:   name, Port: 7440, Duty: duty, Clock: clock.System{},
+		Groups: func() []*dbset.Group { return []*dbset.Group{group} },
+		Peers:  func() []string { return all },
+		Tell:   func() grants.News { return grants.News{} },
+		Hear:   func(grants.News, grants.Keeper, time.Time) {},
+	}}
+}
+
+// Rule 7: grants are renewed while the keeper is heard, and run out without it.
+func TestGrantsRunOut(t *testing.T) {
+	run(t, func(c *qt.C, air *air, nodes []*node) {
+		for range 50 {
+			for _, node := range nodes {
+				c.Assert(node.leads(), qt.Equals, "a")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		air.cutOff(nodes[1].ip, true)
+		time.Sleep(dbset.GrantFor + 10*time.Millisecond)
+		c.Assert(nodes[1].leads(), qt.Equals, "")
+		c.Assert(nodes[2].leads(), qt.Equals, "a")
+		air.cutOff(nodes[1].ip, false)
+		time.Sleep(200 * time.Millisecond)
+		c.Assert(nodes[1].leads(), qt.Equals, "a")
+	})
+}
+
+// Rule 9: a freeze returns once every VM has confirmed the end of its grant; nobody
+// uses the primary after that, until the thaw.
+func TestFreeze(t *testing.T) {
+	run(t, func(c *qt.C, _ *air, nodes []*node) {
+		began := time.Now()
+		c.Assert(nodes[0].agent.Freeze(context.Background(), "ledger"), qt.IsTrue)
+		c.Assert(time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+		for range 30 {
+			for _, node := range nodes {
+				c.Assert(node.leads(), qt.Equals, "")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		nodes[0].agent.Thaw("ledger")
+		time.Sleep(time.Second)
+		c.Assert(nodes[2].leads(), qt.Equals, "a")
+	})
+}
+
+// Rule 9: a VM that can't be reached is waited out, for as long as it can have a
+// grant.
+func TestFreezeWaitsOut(t *testing.T) {
+	run(t, func(c *qt.C, air *air, nodes []*node) {
+		air.cutOff(nodes[1].ip, true)
+		c.Assert(nodes[0].agent.Freeze(context.Background(), "ledger"), qt.IsFalse)
+		c.Assert(nodes[1].leads(), qt.Equals, "")
+	})
+}
+
+// Rule 9: a keeper that has just taken the duty waits for the grants of its
+// predecessor.
+func TestNewKeeperWaits(t *testing.T) {
+	run(t, func(c *qt.C, air *air, nodes []*node) {
+		air.cutOff(nodes[0].ip, true)
+		air.cutOff(nodes[1].ip, true)
+		nodes[2].duty.set(nodes[2].duty.vm, 2)
+		nodes[2].knows(1, "a")
+		began := time.Now()
+		c.Assert(nodes[2].agent.Freeze(context.Background(), "ledger"), qt.IsFalse)
+		c.Assert(time.Since(began) >= dbset.GrantFor, qt.IsTrue)
+		for _, node := range nodes[:2] {
+			c.Assert(node.leads(), qt.Equals, "")
+		}
+	})
+}
+
+// An order of an earlier keeper ends no grant of a later one.
+func TestOldKeeperRevokesNothing(t *testing.T) {
+	run(t, func(c *qt.C, _ *air, nodes []*node) {
+		for _, node := range nodes[1:] {
+			node.duty.set(nodes[1].duty.vm, 2)
+		}
+		nodes[1].knows(1, "a")
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		nodes[0].agent.Freeze(ctx, "ledger")
+		c.Assert(nodes[2].leads(), qt.Equals, "a")
+	})
+}
+
+// What VMs see of a primary reaches its keeper: one that alone doesn't answer them.
+func TestOthers(t *testing.T) {
+	run(t, func(c *qt.C, _ *air, nodes []*node) {
+		for range 5 {
+			nodes[1].group.Failed("a", false, time.Now())
+			nodes[1].group.Done("b", posn.Position{}, time.Now(), time.Now())
+			time.Sleep(150 * time.Millisecond)
+		}
+		others := nodes[0].agent.Others("ledger", "a")
+		c.Assert(others.CutShare > 0, qt.IsTrue, qt.Commentf("%f", others.CutShare))
+	})
+}
