Ask for missing grants alone, and let late answers count

Cause: while any group had no grant, each VM asked for the grants of all groups every 60 ms; a group without databases never has one. And only the answer to the last question counted, so a keeper that took longer than 60 ms was asked the more. Now missing grants are asked for alone, those of groups without databases not at all; each answer counts from when its question was asked; an unanswered question is repeated after 60, 120, 240 and 400 ms.

TestMissingGrants and TestLateAnswers fail before.

--- a/grants/grants.go
+++ b/grants/grants.go
@@ -31,11 +31,14 @@
 const (
 	// askEvery leaves room for several lost datagrams within a grant.
 	askEvery = 400 * time.Millisecond
-	// askAgain is the pause before the next question while a grant is missing or
-	// the last one was not answered.
+	// askAgain is the pause before the next question while a grant is missing, which
+	// then asks for the missing ones only, or before an unanswered one is repeated;
+	// that pause doubles up to askEvery, since its keeper may be busy.
 	askAgain = 60 * time.Millisecond
 	// revokeEvery is the pause between two revocations to a VM.
 	revokeEvery = 25 * time.Millisecond
+	// maxDoublings bounds the pause of an unanswered question before askEvery does.
+	maxDoublings = 4
 	// margin covers clocks that run at other rates.
 	margin = 50 * time.Millisecond
 	// maxDatagram is the largest message, in bytes.
@@ -67,16 +70,21 @@
 	Tell func() News
 	Hear func(news News, from Keeper, asked time.Time)
 
-	mu       sync.Mutex
-	seq      uint64
-	askedAt  time.Time
-	answered bool
-	heardAt  time.Time
-	token    uint64
-	tokenAt  time.Time
-	granted  map[string]time.Time
-	frozen   map[string]*revocation
-	views    map[string]view
+	mu  sync.Mutex
+	seq uint64
+	// questions are those under way, with the time that each was asked; lastAll is
+	// the last for all groups, askedAllAt its time, unanswered how many of these in a
+	// row have no answer.
+	questions  map[uint64]time.Time
+	lastAll    uint64
+	askedAllAt time.Time
+	unanswered int
+	heardAt    time.Time
+	token      uint64
+	tokenAt    time.Time
+	granted    map[string]time.Time
+	frozen     map[string]*revocation
+	views      map[string]view
 }
 
 // view is what another VM last said.
@@ -91,39 +99,55 @@
 	agent.granted = make(map[string]time.Time)
 	agent.frozen = make(map[string]*revocation)
 	agent.views = make(map[string]view)
+	agent.questions = make(map[uint64]time.Time)
 	agent.mu.Unlock()
 	go agent.receive()
 	for {
-		agent.ask()
+		missing := agent.missingGrants()
+		wait := agent.untilAll()
+		switch {
+		case wait <= 0:
+			agent.askAll()
+			wait = agent.untilAll()
+		case len(missing) > 0:
+			agent.askFor(missing)
+		}
+		if len(missing) > 0 {
+			wait = min(wait, askAgain)
+		}
 		select {
 		case <-ctx.Done():
 			return agent.Conn.Close()
-		case <-agent.Clock.After(agent.pause()):
+		case <-agent.Clock.After(wait):
 		}
 	}
 }
 
-func (agent *Agent) pause() time.Duration {
-	now := agent.Clock.Now()
-	for _, group := range agent.Groups() {
-		if !group.HasGrant(now) {
-			return askAgain
-		}
-	}
+// untilAll is how long it is until all grants are to be asked for.
+func (agent *Agent) untilAll() time.Duration {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	if agent.answered {
-		return askEvery
+	every := askEvery
+	if agent.unanswered > 0 {
+		every = min(askAgain<<min(agent.unanswered-1, maxDoublings), askEvery)
 	}
-	return askAgain
+	return agent.askedAllAt.Add(every).Sub(agent.Clock.Now())
 }
 
-// ask sends the duty's holder a question.
-func (agent *Agent) ask() {
-	holder := agent.Duty.Holder()
-	if holder == "" {
-		return
+// missingGrants returns the groups that have databases and no grant.
+func (agent *Agent) missingGrants() []*dbset.Group {
+	now := agent.Clock.Now()
+	var missing []*dbset.Group
+	for _, group := range agent.Groups() {
+		if !group.HasGrant(now) && len(group.Members()) > 0 {
+			missing = append(missing, group)
+		}
 	}
+	return missing
+}
+
+// askAll asks the duty's holder for all grants, and tells how the primaries look.
+func (agent *Agent) askAll() {
 	var views []note
 	now := agent.Clock.Now()
 	for _, group := range agent.Groups() {
@@ -134,12 +158,38 @@
 			})
 		}
 	}
+	agent.ask(kindAsk, views)
+}
+
+// askFor asks for the grants of some groups only: their number may be small, and
+// that of all groups large.
+func (agent *Agent) askFor(groups []*dbset.Group) {
+	names := make([]note, 0, len(groups))
+	for _, group := range groups {
+		names = append(names, note{Group: group.Name})
+	}
+	agent.ask(kindAskSome, names)
+}
+
+func (agent *Agent) ask(kind kind, notes []note) {
+	now := agent.Clock.Now()
 	agent.mu.Lock()
 	agent.seq++
-	question := message{Kind: kindAsk, From: agent.VM, Seq: agent.seq, Notes: views}
-	agent.askedAt, agent.answered = agent.Clock.Now(), false
+	if kind == kindAsk {
+		agent.lastAll, agent.askedAllAt = agent.seq, now
+		agent.unanswered++
+	}
+	question := message{Kind: kind, From: agent.VM, Seq: agent.seq, Notes: notes}
+	agent.questions[agent.seq] = now
+	for seq, at := range agent.questions {
+		if now.Sub(at) > dbset.GrantFor {
+			delete(agent.questions, seq)
+		}
+	}
 	agent.mu.Unlock()
-	agent.send(holder, question)
+	if holder := agent.Duty.Holder(); holder != "" {
+		agent.send(holder, question)
+	}
 }
 
 func (agent *Agent) send(vm string, message message) {
@@ -176,7 +226,7 @@
 
 func (agent *Agent) handle(received message) {
 	switch received.Kind {
-	case kindAsk:
+	case kindAsk, kindAskSome:
 		agent.answer(received)
 	case kindGrant:
 		agent.accept(received)
@@ -197,16 +247,11 @@
 	reply := message{Kind: kindGrant, From: agent.VM, Seq: question.Seq, Token: token}
 	agent.mu.Lock()
 	agent.takeToken(token, now)
-	seen := view{at: now, groups: make(map[string]dbset.View, len(question.Notes))}
-	for _, note := range question.Notes {
-		seen.groups[note.Group] = dbset.View{
-			Primary: note.Primary, IsCut: note.IsCut,
-			HeardAt: now.Add(-time.Duration(note.AgeMS) * time.Millisecond),
-		}
+	if question.Kind == kindAsk {
+		agent.views[question.From] = viewOf(question, now)
 	}
-	agent.views[question.From] = seen
 	for _, group := range agent.Groups() {
-		if _, ok := agent.frozen[group.Name]; ok {
+		if _, ok := agent.frozen[group.Name]; ok || !question.asksFor(group.Name) {
 			continue
 		}
 		grant, ok := group.Offer(now)
@@ -225,6 +270,17 @@
 	agent.send(question.From, reply)
 }
 
+func viewOf(question message, now time.Time) view {
+	seen := view{at: now, groups: make(map[string]dbset.View, len(question.Notes))}
+	for _, note := range question.Notes {
+		seen.groups[note.Group] = dbset.View{
+			Primary: note.Primary, IsCut: note.IsCut,
+			HeardAt: now.Add(-time.Duration(note.AgeMS) * time.Millisecond),
+		}
+	}
+	return seen
+}
+
 // heard counts the VMs that asked lately.
 func (agent *Agent) heard(now time.Time) int {
 	var count int
@@ -255,16 +311,20 @@
 	clear(agent.views)
 }
 
-// accept takes the answer to the last question.
+// accept takes the answer to a question that is under way; a late one counts from
+// when it was asked, like any other.
 func (agent *Agent) accept(reply message) {
 	agent.mu.Lock()
-	askedAt := agent.askedAt
-	isLast := reply.Seq == agent.seq && !agent.answered
-	if isLast {
-		agent.answered, agent.heardAt = true, agent.Clock.Now()
+	askedAt, isAsked := agent.questions[reply.Seq]
+	if isAsked {
+		delete(agent.questions, reply.Seq)
+		agent.heardAt = agent.Clock.Now()
+		if reply.Seq <= agent.lastAll {
+			agent.unanswered = 0
+		}
 	}
 	agent.mu.Unlock()
-	if !isLast {
+	if !isAsked {
 		return
 	}
 	agent.Hear(reply.News, Keeper{VM: reply.From, Token: reply.Token}, askedAt)
--- a/grants/grants_test.go
+++ b/grants/grants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -21,6 +22,18 @@
 	mu    sync.Mutex
 	boxes map[string]chan []byte
 	cut   map[string]bool
+	// late is how long datagrams take, bytes and sent what was sent.
+	late        time.Duration
+	bytes, sent int
+}
+
+// count returns what has been sent since the last count.
+func (air *air) count() (sent, bytes int) {
+	air.mu.Lock()
+	defer air.mu.Unlock()
+	sent, bytes = air.sent, air.bytes
+	air.sent, air.bytes = 0, 0
+	return sent, bytes
 }
 
 func (air *air) cutOff(ip string, isCut bool) {
@@ -51,8 +64,11 @@
 	socket.air.mu.Lock()
 	defer socket.air.mu.Unlock()
 	ip := to.(*net.UDPAddr).IP.String()
+	socket.air.sent++
+	socket.air.bytes += len(data)
 	if box, ok := socket.air.boxes[ip]; ok && !socket.air.cut[ip] && !socket.air.cut[socket.ip] {
-		box <- append([]byte(nil), data...)
+		copied := append([]byte(nil), data...)
+		time.AfterFunc(socket.air.late, func() { box <- copied })
 	}
 	return len(data), nil
 }
@@ -94,6 +110,21 @@
 	agent *grants.Agent
 	group *dbset.Group
 	duty  *holder
+	mu    sync.Mutex
+	// more are further groups.
+	more []*dbset.Group
+}
+
+func (node *node) add(group *dbset.Group) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.more = append(node.more, group)
+}
+
+func (node *node) groups() []*dbset.Group {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return append([]*dbset.Group{node.group}, node.more...)
 }
 
 func (node *node) leads() string {
@@ -142,14 +173,16 @@
 	group := dbset.New("ledger", "zone-a")
 	group.SetMembers([]dbset.Member{{ID: "a", Zone: "zone-a", Slots: 3}, {ID: "b", Zone: "zone-a", Slots: 3}}, time.Now())
 	duty := &holder{vm: name, name: all[0], token: 1}
-	return &node{ip: ip, group: group, duty: duty, agent: &grants.Agent{
+	node := &node{ip: ip, group: group, duty: duty}
+	node.agent = &grants.Agent{
 		Conn: &socket{air: air, ip: ip, box: box, closed: make(chan struct{})},
 		VM:   name, Port: 7440, Duty: duty, Clock: clock.System{},
-		Groups: func() []*dbset.Group { return []*dbset.Group{group} },
+		Groups: node.groups,
 		Peers:  func() []string { return all },
 		Tell:   func() grants.News { return grants.News{} },
 		Hear:   func(grants.News, grants.Keeper, time.Time) {},
-	}}
+	}
+	return node
 }
 
 // Rule 7: grants are renewed while the keeper is heard, and run out without it.
@@ -232,6 +265,60 @@
 	})
 }
 
+// Answers that take longer than the pause between questions count, from when they
+// were asked for. A keeper that answers late gets three questions for one, not a flood.
+func TestLateAnswers(t *testing.T) {
+	run(t, func(c *qt.C, air *air, nodes []*node) {
+		air.count()
+		time.Sleep(4 * time.Second)
+		usual, _ := air.count()
+		air.mu.Lock()
+		air.late = 150 * time.Millisecond
+		air.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		c.Assert(nodes[1].leads(), qt.Equals, "a")
+		late, _ := air.count()
+		c.Assert(late <= 3*usual, qt.IsTrue, qt.Commentf("%d datagrams, %d usually", late, usual))
+	})
+}
+
+// A group without a primary is asked for often, but alone; one without databases is
+// not asked for.
+func TestMissingGrants(t *testing.T) {
+	run(t, func(c *qt.C, air *air, nodes []*node) {
+		const groups = 50
+		for _, node := range nodes {
+			for i := range groups {
+				group := dbset.New(fmt.Sprintf("group%d", i), "zone-a")
+				group.SetMembers([]dbset.Member{{ID: fmt.Sprintf("a%d", i), Slots: 3}}, time.Now())
+				now := time.Now()
+				group.Report(fmt.Sprintf("a%d", i), dbset.Report{Primary: true, Term: 1}, now, now)
+				node.add(group)
+			}
+		}
+		time.Sleep(time.Second)
+		air.count()
+		time.Sleep(4 * time.Second)
+		sent, usual := air.count()
+		// Three VMs ask ten times in 4 s, and are answered.
+		c.Assert(sent <= 3*11*2, qt.IsTrue, qt.Commentf("%d datagrams", sent))
+		for _, node := range nodes {
+			node.add(dbset.New("empty", "zone-a"))
+		}
+		time.Sleep(4 * time.Second)
+		_, withEmpty := air.count()
+		c.Assert(withEmpty <= usual*11/10, qt.IsTrue, qt.Commentf("%d B, %d B usually", withEmpty, usual))
+		for _, node := range nodes {
+			group := dbset.New("dark", "zone-a")
+			group.SetMembers([]dbset.Member{{ID: "d", Slots: 3}}, time.Now())
+			node.add(group)
+		}
+		time.Sleep(4 * time.Second)
+		_, withDark := air.count()
+		c.Assert(withDark <= usual*2, qt.IsTrue, qt.Commentf("%d B, %d B usually", withDark, usual))
+	})
+}
+
 // What VMs see of a primary reaches its keeper: one that alone doesn't answer them.
 func TestOthers(t *testing.T) {
 	run(t, func(c *qt.C, _ *air, nodes []*node) {
--- a/grants/message.go
+++ b/grants/message.go
@@ -1,6 +1,8 @@
 package grants
 
 import (
+	"slices"
+
 	"github.com/bramleydoor/bramleydoor/posn"
 )
 
@@ -11,6 +13,8 @@
 	kindGrant
 	kindRevoke
 	kindRevoked
+	// kindAskSome asks for the groups of its notes only.
+	kindAskSome
 )
 
 // note is one group in a message.
@@ -40,6 +44,12 @@
 	Notes []note
 }
 
+// asksFor reports whether a question is for a group.
+func (question message) asksFor(group string) bool {
+	return question.Kind == kindAsk ||
+		slices.ContainsFunc(question.Notes, func(note note) bool { return note.Group == group })
+}
+
 // News is how far a keeper follows the store, so that other VMs need not.
 type News struct {
 	_ struct{} `cbor:",toarray"`
