--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -251,13 +251,15 @@
 }
 
 // tryWrite makes one write at a VM.
-func (vm *running) tryWrite() wires.Code {
+func (vm *running) tryWrite() wires.Code { return vm.try(wires.Write{}, "WRITE x 1") }
+
+func (vm *running) try(statement wires.Statement, text string) wires.Code {
 	front, answer := vm.open("current")
 	if answer.Code != wires.OK {
 		return answer.Code
 	}
 	defer front.Leave()
-	return front.Ask(wires.Write{}, "WRITE x 1").Code
+	return front.Ask(statement, text).Code
 }
 
 // gap returns how long no write succeeds at a VM.
@@ -369,15 +371,19 @@
 	})
 }
 
-// replaced writes at a VM until the primary a has been replaced: it confirms nothing
-// that a ran after that.
-func (fleet *fleet) replaced(c *qt.C, vm *running, writes int, pause time.Duration) {
-	for range writes {
+// replaced writes and reads at a VM until the primary a has been replaced: it confirms
+// nothing that a ran after that.
+func (fleet *fleet) replaced(c *qt.C, vm *running, requests int, pause time.Duration) {
+	for i := range requests {
 		led := fleet.upstream.Primary()
 		before := len(fleet.upstream.Runs())
-		if vm.tryWrite() == wires.OK {
+		statement, text := wires.Statement(wires.Write{}), "WRITE x 1"
+		if i%2 == 1 {
+			statement, text = wires.Read{}, "READ x"
+		}
+		if vm.try(statement, text) == wires.OK {
 			runs := fleet.upstream.Runs()[before:]
-			c.Assert(runs[len(runs)-1].Database == "a" && led != "a", qt.IsFalse)
+			c.Assert(runs[len(runs)-1].Database == "a" && led != "a", qt.IsFalse, qt.Commentf("%s", text))
 		}
 		time.Sleep(pause)
 	}
@@ -393,7 +399,7 @@
 			cut[vm.name] = vm != fleet.other()
 		}
 		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
-		fleet.replaced(c, fleet.other(), 200, 10 * time.Millisecond)
+		fleet.replaced(c, fleet.other(), 200, 10*time.Millisecond)
 	})
 }
 
@@ -410,7 +416,7 @@
 			cut[vm.name] = vm != lonely
 		}
 		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
-		fleet.replaced(c, lonely, 300, 10 * time.Millisecond)
+		fleet.replaced(c, lonely, 300, 10*time.Millisecond)
 	})
 }
 
@@ -429,7 +435,7 @@
 			cut[vm.name] = vm != lonely
 		}
 		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
-		fleet.replaced(c, lonely, 600, 2 * time.Millisecond)
+		fleet.replaced(c, lonely, 600, 2*time.Millisecond)
 	})
 }
 
