--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -330,8 +330,9 @@
 	wire.upstream.mu.Lock()
 	defer wire.upstream.mu.Unlock()
 	if isStatement(request) {
+		work := min(wire.database.Work, timeout)
 		wire.upstream.mu.Unlock()
-		time.Sleep(min(wire.database.Work, timeout))
+		time.Sleep(work)
 		wire.upstream.mu.Lock()
 	}
 	if wire.database.IsDark || wire.database.CutFrom[wire.vm] {
