--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -82,7 +82,7 @@
 			result, err := run.Run(ctx)
 			c.Assert(err, qt.IsNil)
 			c.Assert(result.Findings, qt.HasLen, 0)
-			c.Assert(result.IsClean(), qt.IsTrue)
+			c.Assert(result.IsClean(), qt.IsTrue, qt.Commentf("breaches %d, %v", result.Breaches, result.Report))
 			c.Assert(result.Acknowledged > 0, qt.IsTrue)
 			c.Assert(porcupine.CheckOperations(counterModel, operations(run.Ops())), qt.IsTrue)
 		})
