--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -51,6 +51,19 @@
 	mu      sync.Mutex
 	version uint64
 	setAt   map[uint64]time.Time
+	// failed is what went wrong in the stand-ins' duties.
+	failed error
+}
+
+// duty runs one of the stand-ins' duties; stop returns its error.
+func (fleet *fleet) duty(run func() error) {
+	fleet.duties.Go(func() {
+		if err := run(); err != nil {
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
+			fleet.failed = errors.CombineErrors(fleet.failed, err)
+		}
+	})
 }
 
 // vm is one machine, with the processes that ran there one after the other.
@@ -123,7 +136,7 @@
 		if err := database.Start(); err != nil {
 			return err
 		}
-		fleet.duties.Go(func() { database.Register(fleet.done) })
+		fleet.duty(func() error { return database.Register(fleet.done) })
 	}
 	for port, handler := range map[int]http.Handler{
 		storePort: fleet.store, orders: platform.StandOrders(fleet.groups),
@@ -150,9 +163,11 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ErrorLog: quietLog}
 	fleet.servers = append(fleet.servers, server)
-	fleet.duties.Go(func() {
-		// It ends when the fleet is stopped.
-		_ = server.Serve(listener)
+	fleet.duty(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
 	})
 	return nil
 }
@@ -206,7 +221,7 @@
 		err = errors.CombineErrors(err, database.Stop())
 	}
 	fleet.duties.Wait()
-	return err
+	return errors.CombineErrors(err, fleet.failed)
 }
 
 // start starts the VM's process.
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -371,6 +371,24 @@
 	})
 }
 
+// lonely returns a VM that hears nothing of the others from now on.
+func (fleet *fleet) lonely() *running {
+	lonely := fleet.other()
+	fleet.packets.mu.Lock()
+	defer fleet.packets.mu.Unlock()
+	fleet.packets.cut[lonely.vm.Address] = true
+	return lonely
+}
+
+// cutFromAllBut cuts the primary a off from all VMs but one.
+func (fleet *fleet) cutFromAllBut(only *running) {
+	cut := make(map[string]bool)
+	for _, vm := range fleet.vms {
+		cut[vm.name] = vm != only
+	}
+	fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
+}
+
 // replaced makes requests at a VM until the primary a has been replaced: it answers
 // with nothing that a ran after that.
 func (fleet *fleet) replaced(c *qt.C, vm *running, statement wires.Statement, requests int, pause time.Duration) {
@@ -394,11 +412,7 @@
 // confirmed that the former primary ran after the promotion.
 func TestFormerPrimaryIsNotUsed(t *testing.T) {
 	within(t, func(c *qt.C, fleet *fleet) {
-		cut := map[string]bool{}
-		for _, vm := range fleet.vms {
-			cut[vm.name] = vm != fleet.other()
-		}
-		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
+		fleet.cutFromAllBut(fleet.other())
 		fleet.replaced(c, fleet.other(), wires.Write{}, 200, 10*time.Millisecond)
 	})
 }
@@ -407,15 +421,8 @@
 // another is promoted.
 func TestLonelyVM(t *testing.T) {
 	within(t, func(c *qt.C, fleet *fleet) {
-		lonely := fleet.other()
-		fleet.packets.mu.Lock()
-		fleet.packets.cut[lonely.vm.Address] = true
-		fleet.packets.mu.Unlock()
-		cut := map[string]bool{}
-		for _, vm := range fleet.vms {
-			cut[vm.name] = vm != lonely
-		}
-		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
+		lonely := fleet.lonely()
+		fleet.cutFromAllBut(lonely)
 		fleet.replaced(c, lonely, wires.Write{}, 300, 10*time.Millisecond)
 	})
 }
@@ -424,17 +431,10 @@
 // its grant ended before. A read shows it: a write would wait for a receipt.
 func TestLonelyVMIsWaitedOut(t *testing.T) {
 	within(t, func(c *qt.C, fleet *fleet) {
-		lonely := fleet.other()
-		fleet.packets.mu.Lock()
-		fleet.packets.cut[lonely.vm.Address] = true
-		fleet.packets.mu.Unlock()
+		lonely := fleet.lonely()
 		time.Sleep(4 * time.Second)
 		c.Assert(lonely.tryWrite(), qt.Equals, wires.OK)
-		cut := map[string]bool{}
-		for _, vm := range fleet.vms {
-			cut[vm.name] = vm != lonely
-		}
-		fleet.upstream.Do("a", func(database *fakeup.Database) { database.CutFrom = cut })
+		fleet.cutFromAllBut(lonely)
 		fleet.replaced(c, lonely, wires.Read{}, 600, 2*time.Millisecond)
 	})
 }
