--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -314,11 +314,14 @@
 	return node.vm
 }
 
-// Kill stops the VM without draining it, and returns when it has stopped.
+// Kill stops the VM without draining it, and returns when it has stopped. Its connections
+// are closed at once, as when a process dies: a request that is waiting for a database
+// must not keep them open.
 func (node *Node) Kill() {
 	node.mu.Lock()
 	defer node.mu.Unlock()
 	node.cancel()
+	node.cluster.Net.Disconnect(node.vm.Settings.ID)
 	<-node.done
 }
 
--- a/fakedb/fakedb.go
+++ b/fakedb/fakedb.go
@@ -115,11 +115,14 @@
 	return group.peak
 }
 
-// admitConn counts a new connection to slot and reports whether it is within Limit.
+// admitConn counts a new connection to slot, which was accepted at dropCount, and reports
+// whether it may serve: it is within Limit, and dropConns has not closed it since.
 // The connections of partitioned and stalled slots do not count, since the platform
 // cannot reach these slots. When a partition ends, SetPartitioned closes the slot's
 // connections.
-func (group *Group) admitConn(slot *Slot) bool {
+func (group *Group) admitConn(slot *Slot, dropCount int) bool {
+	group.mu.Lock()
+	defer group.mu.Unlock()
 	reachable := 0
 	for _, other := range group.slots {
 		other.mu.Lock()
@@ -128,17 +131,18 @@
 		}
 		other.mu.Unlock()
 	}
-	group.mu.Lock()
-	defer group.mu.Unlock()
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	if slot.dropCount != dropCount {
+		return false
+	}
 	group.Opened.Add(1)
 	if group.Limit > 0 && reachable >= group.Limit {
 		group.LimitRefusals.Add(1)
 		return false
 	}
 	group.peak = max(group.peak, reachable+1)
-	slot.mu.Lock()
 	slot.openConns++
-	slot.mu.Unlock()
 	return true
 }
 
--- a/fakedb/session.go
+++ b/fakedb/session.go
@@ -55,7 +55,7 @@
 	slot.mu.Lock()
 	dropCount := slot.dropCount
 	slot.mu.Unlock()
-	if !slot.group.admitConn(slot) {
+	if !slot.group.admitConn(slot, dropCount) {
 		backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "too many connections"})
 		_ = backend.Flush()
 		return
--- a/netsim/netsim.go
+++ b/netsim/netsim.go
@@ -19,6 +19,8 @@
 	locations map[string]string
 	// blocked has the name of a dialer and the address that it can't reach.
 	blocked map[[2]string]bool
+	// conns has the open connections by the name of their dialer.
+	conns map[string]map[*pipeConn]struct{}
 }
 
 // Place sets the location of an address.
@@ -51,6 +53,36 @@
 	return network.blocked[[2]string{from, address}]
 }
 
+// Disconnect closes all connections that the dialer named from has opened, as the kernel
+// does when a process dies.
+func (network *Net) Disconnect(from string) {
+	network.mu.Lock()
+	conns := network.conns[from]
+	delete(network.conns, from)
+	network.mu.Unlock()
+	for conn := range conns {
+		_ = conn.Conn.Close()
+	}
+}
+
+func (network *Net) add(conn *pipeConn) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	if network.conns == nil {
+		network.conns = make(map[string]map[*pipeConn]struct{})
+	}
+	if network.conns[conn.dialer] == nil {
+		network.conns[conn.dialer] = make(map[*pipeConn]struct{})
+	}
+	network.conns[conn.dialer][conn] = struct{}{}
+}
+
+func (network *Net) remove(conn *pipeConn) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	delete(network.conns[conn.dialer], conn)
+}
+
 func (network *Net) location(address string) string {
 	network.mu.Lock()
 	defer network.mu.Unlock()
@@ -90,6 +122,16 @@
 type pipeConn struct {
 	net.Conn
 	underlying net.Conn
+	network    *Net
+	// dialer is the name of the dialer that opened the connection.
+	dialer string
+}
+
+// Close closes the dialing side's end. The other end is closed once the bytes sent before
+// have arrived.
+func (pipeConn *pipeConn) Close() error {
+	pipeConn.network.remove(pipeConn)
+	return pipeConn.Conn.Close()
 }
 
 func (pipeConn *pipeConn) LocalAddr() net.Addr  { return pipeConn.underlying.LocalAddr() }
@@ -102,7 +144,9 @@
 	isBlocked := func() bool { return network.IsBlocked(name, address) }
 	go forward(underlying, far, delay, isBlocked)
 	go forward(far, underlying, delay, isBlocked)
-	return &pipeConn{Conn: near, underlying: underlying}
+	conn := &pipeConn{Conn: near, underlying: underlying, network: network, dialer: name}
+	network.add(conn)
+	return conn
 }
 
 // chunk is the result of one read, with the time at which it is due at the target.
--- a/pool/clean.go
+++ b/pool/clean.go
@@ -26,7 +26,7 @@
 }
 
 func (pool *Pool) canKeep(conn *Conn) bool {
-	return !conn.isDropped && !pool.isStopped && pool.openCount <= pool.Share()
+	return !conn.isDropped && !conn.isInterrupted && !pool.isStopped && pool.openCount <= pool.Share()
 }
 
 // recycle resets a connection and makes it idle for every session, or closes it if the reset
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -45,6 +45,8 @@
 	prepared  map[string]struct{}
 	idleAt    time.Time
 	isDropped bool
+	// isInterrupted says that interrupt was called.
+	isInterrupted bool
 	// lastSession is the ID of the session that used the connection last; needsReset says
 	// that the connection has not been reset since.
 	lastSession uint64
@@ -172,6 +174,19 @@
 // connection.
 const terminateTimeout = time.Second
 
+// interrupt ends the request that uses the connection with a read timeout, and sends
+// Terminate, upon which the database rolls back and closes the connection once its current
+// statement has ended. Unlike Close it leaves the connection readable, so that terminate
+// can wait for that. It may be called while a request uses the connection.
+func (conn *Conn) interrupt() {
+	// A connection that has failed meanwhile needs no interruption.
+	_ = conn.net.SetReadDeadline(time.Now())
+	_ = conn.net.SetWriteDeadline(time.Now().Add(terminateTimeout))
+	if message, err := (&pgproto3.Terminate{}).Encode(nil); err == nil {
+		_, _ = conn.net.Write(message)
+	}
+}
+
 // terminate sends Terminate, waits until the database closes the connection, and closes
 // this end.
 func (conn *Conn) terminate() {
@@ -180,9 +195,8 @@
 		return
 	}
 	conn.Frontend.Send(&pgproto3.Terminate{})
-	if conn.Frontend.Flush() != nil {
-		return
-	}
+	// The write fails if the database has closed the connection, which the read shows too.
+	_ = conn.Frontend.Flush()
 	_, _ = io.Copy(io.Discard, conn.net)
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -115,15 +115,21 @@
 	return pool.openCount <= share
 }
 
-// closeBusy closes up to excess connections, even if requests are using them.
+// closeBusy interrupts requests so that up to excess connections in use are closed. The
+// connections count towards the share until the database has closed them (see retire).
 func (pool *Pool) closeBusy(excess int) {
+	for conn := range pool.conns {
+		if conn.isDropped || conn.isInterrupted {
+			excess--
+		}
+	}
 	for conn := range pool.conns {
 		if excess <= 0 {
 			return
 		}
-		if !conn.isDropped {
-			conn.isDropped = true
-			conn.Close()
+		if !conn.isDropped && !conn.isInterrupted {
+			conn.isInterrupted = true
+			go conn.interrupt()
 			excess--
 		}
 	}
