sock: keep idle connections whose last request's deadline has passed

Cause: IsIdle peeked at the socket through RawConn.Read, which fails without a look once the read deadline of the last request has passed.

--- a/sock/sock.go
+++ b/sock/sock.go
@@ -8,7 +8,7 @@
 
 // IsIdle reports whether an idle socket, on which no data is expected, has received
 // neither data nor an end of stream. A socket that fails after the check shows it only
-// when it is used.
+// when it is used. The deadlines of earlier requests have no effect.
 func IsIdle(socket syscall.Conn) bool {
 	raw, err := socket.SyscallConn()
 	if err != nil {
@@ -16,9 +16,9 @@
 	}
 	var buffer [1]byte
 	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
+	// Read would fail without a call of the function once the read deadline has passed.
+	err = raw.Control(func(fd uintptr) {
 		_, _, peekErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
 }
