--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,8 @@
 	RequestRefused      ID = 2005
 	RequestRetried      ID = 2006
 	ConfirmedWithoutAck ID = 2007
+	PanicContained      ID = 2008
+	AcceptFailed        ID = 2009
 	PrimarySuspected    ID = 3001
 	PromotionBegun      ID = 3002
 	PromotionDone       ID = 3003
@@ -53,6 +55,8 @@
 	PeerLeft            ID = 5003
 	PeerRefused         ID = 5004
 	ShareChanged        ID = 5005
+	RouterSilent        ID = 5006
+	RouterBack          ID = 5007
 )
 
 // Entry is the documentation of one event.
@@ -85,6 +89,8 @@
 	{RequestRefused, logrus.InfoLevel, "Request refused", "A request was refused; transaction is the ID of the request that opened its transaction. Unless the code is unknown or inDoubt, the request had no lasting effect. The reason is also the name of a counter.", []string{"request", "transaction", "database", "code", "reason", "attempt", "afterMs"}, "0.2"},
 	{RequestRetried, logrus.InfoLevel, "Request retried", "A request that did not run, or a read, is retried. Dispatch is notDispatched if the previous attempt was not sent, known if its outcome is known, and otherwise unknown.", []string{"request", "transaction", "group", "slot", "reason", "dispatch", "attempt", "afterMs"}, "0.2"},
 	{ConfirmedWithoutAck, logrus.WarnLevel, "Confirmed without a receipt", "A write was confirmed although no replica was known to have received it: if the primary is lost before replication, so is the write. Many of these events mean that replicas receive nothing.", []string{"request", "transaction", "group", "position", "afterMs"}, "0.2"},
+	{PanicContained, logrus.ErrorLevel, "Panic contained", "An unexpected error ended one request; the VM serves on. Report the error.", []string{"request", "error"}, "0.3"},
+	{AcceptFailed, logrus.ErrorLevel, "Accept failed", "A connection could not be accepted; the VM tries again after a short pause. Many of these events mean that the VM has used up its file descriptors.", []string{"error"}, "0.3"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The failover controller has received no answer from the primary for longer than the usual delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
 	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The failover controller starts to seal a new term on a majority of slots.", []string{"group", "term", "cause"}, "0.1"},
 	{PromotionDone, logrus.WarnLevel, "Promotion done", "The group has a new primary.", []string{"group", "term", "slot", "position", "sealed", "allRevoked", "sealMs", "revokeMs", "tookMs"}, "0.1"},
@@ -106,6 +112,8 @@
 	{PeerLeft, logrus.InfoLevel, "Peer left", "A VM has left, or did not answer in time and is regarded as stopped.", []string{"peer"}, "0.1"},
 	{PeerRefused, logrus.WarnLevel, "Peer refused", "A connection to the peer address did not prove that it has the peer key.", []string{"remote"}, "0.1"},
 	{ShareChanged, logrus.InfoLevel, "Connection shares changed", "The VM's shares of the connection limits were recomputed, since the set of live VMs has changed.", []string{"view", "vms"}, "0.1"},
+	{RouterSilent, logrus.WarnLevel, "Routing VM silent", "A VM to which requests are forwarded does not answer, or its connection failed. Requests go to the next routing VM, or directly to the databases.", []string{"peer", "error"}, "0.3"},
+	{RouterBack, logrus.InfoLevel, "Routing VM connected", "Requests may be forwarded to a VM.", []string{"peer"}, "0.3"},
 }
 
 // Find returns the catalogue entry of an event.
