Forward requests to routing VMs where connections are scarce

Cause: before 78 VMs a database's 108 connections leave a VM one or two, and a VM sends a database 0.36 requests a second. Idle connections close after 0.4 s, so that the old connections of VMs that lose power leave room; so most requests waited for a new one.

Change: where a VM's equal share is below four connections, requests go to the routing VM of the group in the availability zone, the first one by rendezvous hashing that is usable (package remote, net/rpc). It executes them as its own: admission, leases, floors and receipts are as before. The route comes with the request, so that a session never returns to an older configuration. A request that was not sent, or was declined by a VM that is stopping or can't reach the primary, goes to the next routing VM or is served directly; a lost write or commit is in doubt; a transaction stays on its connection and is rolled back with it. Reads leave a VM that shows no sign of life for 150 ms; writes wait for their answer. Routing VMs share a database's connections by zone.

--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -56,12 +56,14 @@
 	// counts their previous connections.
 	idleTimeout = 1 * time.Second
 	// scarceIdleTimeout is the idle timeout of all connections, including the
-	// first, where the VM's share is less than scarceThreshold: with many VMs, one
-	// idle connection of each would use up the database's limit.
+	// first, where the VM's share is less than ScarceShare: with many VMs, one idle
+	// connection of each would use up the database's limit.
 	scarceIdleTimeout = 400 * time.Millisecond
-	scarceThreshold   = 4
 )
 
+// ScarceShare is the connection share below which connections to a database are scarce.
+const ScarceShare = 4
+
 // errRetry is returned by tryGet and dial when Get should try again.
 var errRetry = errors.New("pool may have a connection now: retry")
 
--- a/dbpool/set.go
+++ b/dbpool/set.go
@@ -57,13 +57,13 @@
 
 // Trim closes connections that have been idle for longer than their idle timeout. It
 // keeps one connection to each database, unless the VM's share is below
-// scarceThreshold.
+// ScarceShare.
 func (set *Set) Trim() {
 	now := set.Clock.Now()
 	set.mu.Lock()
 	defer set.mu.Unlock()
 	for _, pool := range set.pools {
-		if pool.Share() >= scarceThreshold {
+		if pool.Share() >= ScarceShare {
 			pool.trim(now.Add(-idleTimeout), 1)
 		} else {
 			pool.trim(now.Add(-scarceIdleTimeout), 0)
@@ -83,10 +83,10 @@
 }
 
 // HasScarceConns reports whether the VM's share of a database's connection limit is
-// below scarceThreshold.
+// below ScarceShare.
 func (set *Set) HasScarceConns(id string) bool {
 	pool := set.Pool(id)
-	return pool != nil && pool.Share() < scarceThreshold
+	return pool != nil && pool.Share() < ScarceShare
 }
 
 // Close closes and removes all pools.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -51,8 +51,14 @@
 	Clock clock.Clock
 	Log   *event.Log
 	Stats *stats.Stats
+	// Routers selects the VMs to which requests are forwarded; with nil, this VM serves all
+	// requests itself.
+	Routers Routers
+
+	phase atomic.Int32
+	// forwarded counts the single statements in progress for other VMs.
+	forwarded atomic.Int32
 
-	phase    atomic.Int32
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
 }
@@ -64,6 +70,8 @@
 const (
 	// Serving is normal operation.
 	Serving Phase = iota
+	// Declining declines requests that other VMs forward; their open transactions go on.
+	Declining
 	// Closing ends each session that is outside a transaction and sends no request
 	// within a short timeout after its last answer.
 	Closing
@@ -93,11 +101,11 @@
 // IsRefusing reports whether new requests are refused.
 func (engine *Engine) IsRefusing() bool { return engine.hasReached(Refusing) }
 
-// Sessions returns the number of open sessions.
+// Sessions returns the number of open sessions, including those that other VMs forward.
 func (engine *Engine) Sessions() int {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	return len(engine.sessions)
+	return len(engine.sessions) + int(engine.forwarded.Load())
 }
 
 func (engine *Engine) add(session *Session) {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -1,7 +1,9 @@
 package engine_test
 
 import (
+	"context"
 	"io"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,9 +18,11 @@
 	"github.com/bramleydoor/bramleydoor/engine"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fakeup"
+	"github.com/bramleydoor/bramleydoor/netsim"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/remote"
 	"github.com/bramleydoor/bramleydoor/stats"
 )
 
@@ -30,12 +34,18 @@
 	rollback = proto.Rollback{}
 )
 
-// fixture is an engine connected to a fake upstream, in a synctest bubble.
+// fixture is an engine connected to a fake upstream, in a synctest bubble. Sessions are
+// opened at engine. If that forwards their requests, it knows no database group itself, and
+// router is the engine of the routing VM.
 type fixture struct {
 	upstream *fakeup.Upstream
 	group    *dbset.Group
 	engine   *engine.Engine
-	token    uint64
+	router   *engine.Engine
+	// link carries the forwarded requests.
+	link  *netsim.PipeListener
+	token uint64
+	stop  func()
 }
 
 func (fixture *fixture) Group(string) *dbset.Group { return fixture.group }
@@ -52,6 +62,51 @@
 		Config: &config.Latest{}, Groups: fixture, Pools: pools, Clock: clock.System{},
 		Log: event.NewLog(logger, "vm1"), Stats: &stats.Stats{},
 	}
+	fixture.stop = func() {}
+	return fixture
+}
+
+// noGroups are the groups of a VM that knows none.
+type noGroups struct{}
+
+func (noGroups) Group(string) *dbset.Group { return nil }
+
+// routers are the clients of the routing VM.
+type routers struct{ clients *remote.Clients }
+
+func (routers routers) Routers(string) []*remote.Client {
+	if client := routers.clients.Usable("router"); client != nil {
+		return []*remote.Client{client}
+	}
+	return nil
+}
+
+// newForwardingFixture returns a fixture whose engine forwards all requests to a routing
+// VM.
+func newForwardingFixture() *fixture {
+	fixture := newFixture()
+	fixture.router = fixture.engine
+	log := fixture.router.Log
+	fixture.link = &netsim.PipeListener{}
+	fixture.link.Open()
+	server := &remote.Server{Listener: fixture.link, Executor: engine.Executor{Engine: fixture.router}, Clock: clock.System{}, Log: log}
+	clients := &remote.Clients{
+		Dial:  func(ctx context.Context, _ string) (net.Conn, error) { return fixture.link.Dial(ctx) },
+		Clock: clock.System{}, Log: log,
+	}
+	fixture.engine = &engine.Engine{
+		Config: fixture.router.Config, Groups: noGroups{}, Pools: &dbpool.Set{}, Clock: clock.System{},
+		Log: log, Stats: &stats.Stats{}, Routers: routers{clients},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx) }()
+	fixture.stop = func() {
+		fixture.link.Release()
+		clients.Close()
+		cancel()
+		<-stopped
+	}
 	return fixture
 }
 
@@ -83,11 +138,21 @@
 	return caller
 }
 
-// withSession runs test in a bubble with one session that has started.
+// withSession runs test with one session that has started, at a VM that serves it and at
+// one that forwards its requests to a routing VM.
 func withSession(t *testing.T, database string, test func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn)) {
+	t.Helper()
+	t.Run("direct", func(t *testing.T) { withSessionOf(t, newFixture, database, test) })
+	t.Run("forwarded", func(t *testing.T) { withSessionOf(t, newForwardingFixture, database, test) })
+}
+
+// withSessionOf runs test in a bubble with one session that has started at the engine of a
+// new fixture.
+func withSessionOf(t *testing.T, newFixture func() *fixture, database string, test func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture()
+		defer fixture.stop()
 		fixture.configure()
 		fixture.renewLease()
 		time.Sleep(time.Millisecond)
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -39,7 +39,7 @@
 func (session *Session) newExecution(call proto.Call, route config.Route) *execution {
 	return &execution{
 		session: session, call: call, route: route,
-		group: session.engine.Groups.Group(route.Upstream), arrived: session.engine.now(),
+		group: session.engine.Groups.Group(route.Upstream), arrived: session.arrived,
 		transactionID: session.transactionID(),
 	}
 }
--- a/engine/session.go
+++ b/engine/session.go
@@ -41,6 +41,12 @@
 	lastCommits map[string]commit
 	transaction *transaction
 	answerCount int
+	// arrived is when the request in progress was received.
+	arrived time.Time
+	// isForwarded is set if another VM forwards the session's requests to this one.
+	isForwarded bool
+	// ownCommit is the position of the last commit that the session has made here.
+	ownCommit posn.Position
 }
 
 func (session *Session) route() (config.Route, bool) {
@@ -74,9 +80,14 @@
 		case err != nil:
 			return
 		}
-		began := session.engine.now()
+		if !session.isForwarded {
+			session.arrived = session.engine.now()
+		}
 		answer := session.serve(call)
-		session.engine.Stats.Answered(session.groupName(), kindOf(call.Statement), answer.Code.String(), session.engine.now().Sub(began))
+		if !session.isForwarded {
+			took := session.engine.now().Sub(session.arrived)
+			session.engine.Stats.Answered(session.groupName(), kindOf(call.Statement), answer.Code.String(), took)
+		}
 		answer.State = session.state()
 		if session.caller.Reply(answer) != nil {
 			return
@@ -227,6 +238,9 @@
 	if !ok {
 		return session.refuse(call, proto.UnknownDatabase, "noRoute")
 	}
+	if answer, ok := session.forward(call, route, writes); ok {
+		return answer
+	}
 	if writes {
 		return session.write(call, route)
 	}
@@ -275,6 +289,7 @@
 // recordCommit stores the position of a commit, which later reads of the session must
 // include.
 func (session *Session) recordCommit(group string, position posn.Position) {
+	session.ownCommit = position
 	if previous := session.lastCommits[group]; !previous.position.AtLeast(position) || previous.position.IsZero() {
 		session.lastCommits[group] = commit{position: position, at: session.engine.now()}
 	}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -8,6 +8,7 @@
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/remote"
 )
 
 // rollbackTimeout limits the rollback of a transaction at the database.
@@ -22,6 +23,11 @@
 	readOnly bool
 	conn     *dbpool.Conn
 	term     uint64
+	// forwarded is the transaction at the routing VM where it is open; nil if it is open at
+	// this VM or nowhere.
+	forwarded *remote.ClientTransaction
+	// isDeclined is set if a routing VM has declined the transaction.
+	isDeclined bool
 	// mayHaveWritten is set before the first writing statement is sent, so that it
 	// holds also if the statement's answer is lost.
 	mayHaveWritten bool
@@ -36,6 +42,10 @@
 // caller has disconnected, and for a transaction that is still open after its commit.
 func (transaction *transaction) abort() {
 	transaction.isFailed = true
+	if transaction.forwarded != nil {
+		transaction.forwarded.Abort()
+		transaction.forwarded = nil
+	}
 	conn := transaction.conn
 	transaction.conn = nil
 	if conn == nil {
@@ -82,6 +92,9 @@
 
 // executeInTransaction runs a statement of the open transaction.
 func (session *Session) executeInTransaction(call proto.Call, writes bool) proto.Answer {
+	if answer, ok := session.forwardInTransaction(call, writes); ok {
+		return answer
+	}
 	transaction := session.transaction
 	execution := session.newExecution(call, transaction.route)
 	if answer, ok := session.pin(execution); !ok {
@@ -212,6 +225,10 @@
 	if transaction == nil {
 		return proto.Answer{Code: proto.Malformed, Text: "no transaction is open"}
 	}
+	if answer, ok := session.forwardInTransaction(call, false); ok {
+		session.transaction = nil
+		return answer
+	}
 	execution := session.newExecution(call, transaction.route)
 	answer, ok := session.pin(execution)
 	if !ok {
--- /dev/null
+++ b/remote/client.go
@@ -0,0 +1,349 @@
+package remote
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/event"
+)
+
+const (
+	// pingAfter is how long a request waits for its answer before the VM is asked for a
+	// sign of life. Most requests are answered earlier.
+	pingAfter = 60 * time.Millisecond
+	// silentAfter is how long a sign of life may take. It is longer than a VM pauses that
+	// has used up its processor quota of a 100 ms period.
+	silentAfter = 150 * time.Millisecond
+	// dialTimeout bounds opening a connection, including its first sign of life.
+	dialTimeout = 500 * time.Millisecond
+	// redialInterval is the least time between the ends of two attempts to connect.
+	redialInterval = 300 * time.Millisecond
+	// connectWait is how long a request waits for the first connection to a VM. Within a
+	// zone that takes less than a millisecond.
+	connectWait = 20 * time.Millisecond
+	// declinedFor is how long a VM that declined a request receives no other one.
+	declinedFor = 1 * time.Second
+	// abandonAfter is how long a connection without a sign of life stays open for the
+	// requests that still wait for their answers.
+	abandonAfter = 5 * time.Second
+	// writeTimeout bounds the sending of one request.
+	writeTimeout = 200 * time.Millisecond
+)
+
+// Client forwards requests to one VM. It connects in the background, so that a VM that is
+// down delays no request.
+type Client struct {
+	vm    string
+	dial  func(ctx context.Context, vm string) (net.Conn, error)
+	clock clock.Clock
+	log   *event.Log
+
+	mu sync.Mutex
+	// conn is the connection for new requests; nil if there is none.
+	conn *conn
+	// connecting is closed when the attempt to connect ends that began at connectingSince;
+	// nil if there is none.
+	connecting      chan struct{}
+	connectingSince time.Time
+	nextDialAt      time.Time
+	declinedUntil   time.Time
+	isClosed        bool
+	// closed is closed with the client.
+	closed chan struct{}
+}
+
+func newClient(vm string, clients *Clients) *Client {
+	return &Client{vm: vm, dial: clients.Dial, clock: clients.Clock, log: clients.Log, closed: make(chan struct{})}
+}
+
+// conn is one connection to the VM.
+type conn struct {
+	net    *timedConn
+	client *rpc.Client
+	clock  clock.Clock
+	// transactions is the number of transactions opened.
+	transactions atomic.Uint64
+
+	mu sync.Mutex
+	// pingedAt is when the last ping was sent.
+	pingedAt time.Time
+}
+
+// timedConn records when data last arrived.
+type timedConn struct {
+	net.Conn
+	clock      clock.Clock
+	lastReadAt atomic.Int64
+}
+
+func (conn *timedConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if count > 0 {
+		conn.lastReadAt.Store(conn.clock.Now().UnixNano())
+	}
+	return count, err
+}
+
+func (conn *timedConn) Write(data []byte) (int, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return conn.Conn.Write(data)
+}
+
+// VM returns the ID of the VM.
+func (client *Client) VM() string { return client.vm }
+
+// isUsable reports whether a request may be forwarded now. It starts to connect if there
+// is no connection. Only the first attempt is worth waiting for: later ones follow a failure.
+func (client *Client) isUsable(now time.Time) bool {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	if client.isClosed || now.Before(client.declinedUntil) {
+		return false
+	}
+	if client.conn == nil {
+		client.startConnecting(now)
+		isFirstAttempt := client.nextDialAt.IsZero()
+		return isFirstAttempt && client.connecting != nil && now.Sub(client.connectingSince) < connectWait
+	}
+	if client.conn.isSilent(now) {
+		client.retire(client.conn, ErrSilent)
+		return false
+	}
+	return true
+}
+
+// startConnecting connects in the background unless an attempt is in progress or has just
+// failed. client.mu must be held.
+func (client *Client) startConnecting(now time.Time) {
+	if client.isClosed || client.connecting != nil || now.Before(client.nextDialAt) {
+		return
+	}
+	done := make(chan struct{})
+	client.connecting, client.connectingSince = done, now
+	go func() {
+		opened, err := client.open()
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		defer close(done)
+		client.connecting, client.nextDialAt = nil, client.clock.Now().Add(redialInterval)
+		switch {
+		case err != nil:
+			client.log.Write(event.RouterSilent, event.Fields{"peer": client.vm, "error": err.Error()})
+		case client.isClosed:
+			opened.close()
+		default:
+			client.conn = opened
+			client.log.Write(event.RouterBack, event.Fields{"peer": client.vm})
+		}
+	}()
+}
+
+// open opens a connection and waits for a sign of life: a VM that is suspended may still
+// accept connections.
+func (client *Client) open() (*conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	netConn, err := client.dial(ctx, client.vm)
+	if err != nil {
+		return nil, err
+	}
+	timed := &timedConn{Conn: netConn, clock: client.clock}
+	opened := &conn{net: timed, client: rpc.NewClient(timed), clock: client.clock}
+	select {
+	case call := <-opened.ping().Done:
+		if call.Error != nil {
+			opened.close()
+			return nil, call.Error
+		}
+		return opened, nil
+	case <-ctx.Done():
+		opened.close()
+		return nil, errors.Wrapf(ErrSilent, "no sign of life within %v", dialTimeout)
+	}
+}
+
+// retire stops using a connection for new requests. It is closed once the requests that
+// still wait on it have had abandonAfter. client.mu must be held.
+func (client *Client) retire(old *conn, cause error) {
+	if client.conn != old {
+		return
+	}
+	client.conn, client.nextDialAt = nil, client.clock.Now().Add(redialInterval)
+	client.log.Write(event.RouterSilent, event.Fields{"peer": client.vm, "error": cause.Error()})
+	if !errors.Is(cause, ErrSilent) {
+		old.close()
+		return
+	}
+	go func() {
+		select {
+		case <-client.clock.After(abandonAfter):
+		case <-client.closed:
+		}
+		old.close()
+	}()
+}
+
+func (client *Client) fail(failed *conn, cause error) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.retire(failed, cause)
+}
+
+// Declined keeps new requests from the VM for declinedFor, after it has declined one.
+func (client *Client) Declined() {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.declinedUntil = client.clock.Now().Add(declinedFor)
+}
+
+// connection returns the connection for a new request, or nil. It waits for one that is
+// being opened for up to connectWait since the attempt began.
+func (client *Client) connection() *conn {
+	client.mu.Lock()
+	current, connecting := client.conn, client.connecting
+	wait := connectWait - client.clock.Now().Sub(client.connectingSince)
+	client.mu.Unlock()
+	if current != nil || connecting == nil || wait <= 0 {
+		return current
+	}
+	select {
+	case <-connecting:
+	case <-client.clock.After(wait):
+	}
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	return client.conn
+}
+
+// Forward runs a single statement at the VM. The errors are ErrNotSent, ErrSilent and
+// ErrLost.
+func (client *Client) Forward(request Request, timeout time.Duration) (Reply, error) {
+	current := client.connection()
+	if current == nil {
+		return Reply{}, ErrNotSent
+	}
+	return client.forward(current, request, timeout)
+}
+
+func (client *Client) forward(current *conn, request Request, timeout time.Duration) (Reply, error) {
+	reply, err := current.call(request, timeout)
+	switch {
+	case errors.Is(err, ErrSilent):
+		client.fail(current, ErrSilent)
+	case errors.HasType(err, rpc.ServerError("")):
+		err = errors.Mark(err, ErrLost)
+	case err != nil && !errors.Is(err, errTimeout):
+		client.fail(current, err)
+		err = errors.Mark(err, ErrLost)
+	}
+	if reply.IsDeclined {
+		client.Declined()
+	}
+	return reply, err
+}
+
+// errTimeout means that the VM is alive but has not answered the request in time.
+var errTimeout = errors.Mark(errors.New("no answer within the timeout"), ErrLost)
+
+// call sends a request and waits for its answer. Once the VM shows no sign of life, a
+// request that can be given up ends with ErrSilent.
+func (conn *conn) call(request Request, timeout time.Duration) (Reply, error) {
+	reply := new(Reply)
+	sentAt := conn.clock.Now()
+	pending := conn.client.Go(serviceName+".Execute", &request, reply, make(chan *rpc.Call, 1))
+	for {
+		now := conn.clock.Now()
+		remaining := timeout - now.Sub(sentAt)
+		if remaining <= 0 {
+			return Reply{}, errTimeout
+		}
+		if request.canBeGivenUp() && conn.isSilent(now) {
+			return Reply{}, ErrSilent
+		}
+		select {
+		case <-pending.Done:
+			if pending.Error != nil {
+				return Reply{}, pending.Error
+			}
+			return *reply, nil
+		case <-conn.clock.After(min(remaining, pingAfter)):
+			conn.pingIfQuiet(conn.clock.Now())
+		}
+	}
+}
+
+// ping asks the VM for a sign of life. The net/rpc client reads the answer, which
+// timedConn records.
+func (conn *conn) ping() *rpc.Call {
+	conn.mu.Lock()
+	conn.pingedAt = conn.clock.Now()
+	conn.mu.Unlock()
+	return conn.client.Go(serviceName+".Ping", new(bool), new(bool), make(chan *rpc.Call, 1))
+}
+
+// pingIfQuiet sends a ping if nothing has arrived for pingAfter and no ping is unanswered.
+func (conn *conn) pingIfQuiet(now time.Time) {
+	lastReadAt := time.Unix(0, conn.net.lastReadAt.Load())
+	conn.mu.Lock()
+	isDue := now.Sub(lastReadAt) >= pingAfter && !conn.pingedAt.After(lastReadAt)
+	conn.mu.Unlock()
+	if isDue {
+		conn.ping()
+	}
+}
+
+// isSilent reports whether a ping has been unanswered for silentAfter.
+func (conn *conn) isSilent(now time.Time) bool {
+	lastReadAt := time.Unix(0, conn.net.lastReadAt.Load())
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.pingedAt.After(lastReadAt) && now.Sub(conn.pingedAt) >= silentAfter
+}
+
+func (conn *conn) close() {
+	// The error is of no use: the connection is not used any more.
+	_ = conn.client.Close()
+}
+
+// Open begins a transaction at the VM. Nothing is sent before its first statement. It
+// returns ErrNotSent without a usable connection.
+func (client *Client) Open() (*ClientTransaction, error) {
+	current := client.connection()
+	if current == nil {
+		return nil, ErrNotSent
+	}
+	return &ClientTransaction{client: client, conn: current, id: current.transactions.Add(1)}, nil
+}
+
+// ClientTransaction is a transaction that is open at another VM.
+type ClientTransaction struct {
+	client *Client
+	conn   *conn
+	id     uint64
+	// isBegun is set once the first statement was sent.
+	isBegun bool
+}
+
+// VM returns the ID of the VM.
+func (transaction *ClientTransaction) VM() string { return transaction.client.vm }
+
+// Forward runs a statement of the transaction. The errors are ErrSilent and ErrLost.
+func (transaction *ClientTransaction) Forward(request Request, timeout time.Duration) (Reply, error) {
+	request.Transaction, request.IsFirst = transaction.id, !transaction.isBegun
+	transaction.isBegun = true
+	return transaction.client.forward(transaction.conn, request, timeout)
+}
+
+// Abort rolls the transaction back, without waiting for that.
+func (transaction *ClientTransaction) Abort() {
+	transaction.conn.client.Go(serviceName+".Abort", &transaction.id, new(bool), make(chan *rpc.Call, 1))
+}
--- /dev/null
+++ b/remote/remote_test.go
@@ -0,0 +1,217 @@
+package remote_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/netsim"
+	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/remote"
+)
+
+const timeout = 2 * time.Second
+
+// executor records the requests of a routing VM. Each takes duration.
+type executor struct {
+	duration time.Duration
+	declines bool
+
+	mu       sync.Mutex
+	ran      []string
+	rollback int
+}
+
+func (executor *executor) Execute(request remote.Request) remote.Reply {
+	if executor.declines {
+		return remote.Reply{IsDeclined: true}
+	}
+	if request.Text == "panic" {
+		panic("unexpected")
+	}
+	time.Sleep(executor.duration)
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	executor.ran = append(executor.ran, request.Text)
+	return remote.Reply{Answer: proto.Answer{Text: request.Text}}
+}
+
+func (executor *executor) Open(request remote.Request) (remote.Transaction, remote.Reply) {
+	return &transaction{executor: executor}, (&transaction{executor: executor}).Execute(request)
+}
+
+func (executor *executor) runs() []string {
+	executor.mu.Lock()
+	defer executor.mu.Unlock()
+	return append([]string(nil), executor.ran...)
+}
+
+type transaction struct {
+	executor *executor
+	isClosed bool
+}
+
+func (transaction *transaction) Execute(request remote.Request) remote.Reply {
+	reply := transaction.executor.Execute(request)
+	if request.Kind != remote.Commit {
+		reply.Answer.State = proto.Open
+	}
+	return reply
+}
+
+func (transaction *transaction) Close() {
+	transaction.executor.mu.Lock()
+	defer transaction.executor.mu.Unlock()
+	if !transaction.isClosed {
+		transaction.isClosed = true
+		transaction.executor.rollback++
+	}
+}
+
+// withRouter runs test with the clients of one VM and the executor of another, the
+// listener of which carries the bytes between the two.
+func withRouter(t *testing.T, test func(c *qt.C, client func() *remote.Client, executor *executor, link *netsim.PipeListener)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		log := event.NewLog(logger, "vm1")
+		link := &netsim.PipeListener{}
+		link.Open()
+		executor := &executor{duration: 5 * time.Millisecond}
+		server := &remote.Server{Listener: link, Executor: executor, Clock: clock.System{}, Log: log}
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Run(ctx) }()
+		clients := &remote.Clients{
+			Dial:  func(ctx context.Context, _ string) (net.Conn, error) { return link.Dial(ctx) },
+			Clock: clock.System{}, Log: log,
+		}
+		defer func() {
+			link.Release()
+			clients.Close()
+			stop()
+			qt.Check(t, <-stopped, qt.IsNil)
+		}()
+		clients.Usable("router")
+		time.Sleep(time.Millisecond)
+		test(qt.New(t), func() *remote.Client { return clients.Usable("router") }, executor, link)
+	})
+}
+
+func read(text string) remote.Request  { return remote.Request{Kind: remote.Read, Text: text} }
+func write(text string) remote.Request { return remote.Request{Kind: remote.Write, Text: text} }
+
+// Rule 20: while the routing VM is suspended, a read is given up soon, a write waits for its
+// answer and runs once, and no new request is sent there.
+func TestSuspendedVM(t *testing.T) {
+	withRouter(t, func(c *qt.C, client func() *remote.Client, executor *executor, link *netsim.PipeListener) {
+		link.Hold()
+		var written sync.WaitGroup
+		written.Go(func() {
+			reply, err := client().Forward(write("w"), timeout)
+			c.Check(err, qt.IsNil)
+			c.Check(reply.Answer.Text, qt.Equals, "w")
+		})
+		began := time.Now()
+		_, err := client().Forward(read("r"), timeout)
+		c.Assert(errors.Is(err, remote.ErrSilent), qt.IsTrue)
+		c.Assert(time.Since(began) <= 300*time.Millisecond, qt.IsTrue)
+		c.Assert(client(), qt.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(client(), qt.IsNil)
+
+		link.Release()
+		written.Wait()
+		c.Assert(slices.Sorted(slices.Values(executor.runs())), qt.DeepEquals, []string{"r", "w"})
+		time.Sleep(time.Second)
+		client()
+		time.Sleep(time.Millisecond)
+		_, err = client().Forward(read("r"), timeout)
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+// A VM that is slow but alive keeps its requests: a long statement is not run elsewhere.
+func TestSlowStatementIsAwaited(t *testing.T) {
+	withRouter(t, func(c *qt.C, client func() *remote.Client, executor *executor, _ *netsim.PipeListener) {
+		executor.duration = 1500 * time.Millisecond
+		_, err := client().Forward(read("r"), timeout)
+		c.Assert(err, qt.IsNil)
+		c.Assert(client(), qt.IsNotNil)
+	})
+}
+
+// Rule 12: after a lost connection the outcome of a write is unknown, and it was sent once.
+// Without a connection a request is not sent.
+func TestLostConnection(t *testing.T) {
+	withRouter(t, func(c *qt.C, client func() *remote.Client, executor *executor, link *netsim.PipeListener) {
+		executor.duration = 100 * time.Millisecond
+		connected := client()
+		time.AfterFunc(50*time.Millisecond, link.Disconnect)
+		_, err := connected.Forward(write("w"), timeout)
+		c.Assert(errors.Is(err, remote.ErrLost), qt.IsTrue)
+		_, err = connected.Forward(write("w2"), timeout)
+		c.Assert(errors.Is(err, remote.ErrNotSent), qt.IsTrue)
+		time.Sleep(time.Second)
+		c.Assert(executor.runs(), qt.DeepEquals, []string{"w"})
+	})
+}
+
+// Rule 14: a transaction is rolled back when the connection between the VMs ends, and a
+// later statement of it doesn't run on another connection.
+func TestTransactionEndsWithConnection(t *testing.T) {
+	withRouter(t, func(c *qt.C, client func() *remote.Client, executor *executor, link *netsim.PipeListener) {
+		opened, err := client().Open()
+		c.Assert(err, qt.IsNil)
+		reply, err := opened.Forward(write("w"), timeout)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Answer.State, qt.Equals, proto.Open)
+		link.Disconnect()
+		time.Sleep(time.Second)
+		executor.mu.Lock()
+		c.Check(executor.rollback, qt.Equals, 1)
+		executor.mu.Unlock()
+		client()
+		time.Sleep(time.Millisecond)
+		c.Assert(client(), qt.IsNotNil)
+		_, err = opened.Forward(remote.Request{Kind: remote.Commit, Text: "commit"}, timeout)
+		c.Assert(errors.Is(err, remote.ErrLost), qt.IsTrue)
+		c.Assert(executor.runs(), qt.DeepEquals, []string{"w"})
+	})
+}
+
+// An unexpected error fails one request and not the process.
+func TestPanicIsContained(t *testing.T) {
+	withRouter(t, func(c *qt.C, client func() *remote.Client, _ *executor, _ *netsim.PipeListener) {
+		_, err := client().Forward(write("panic"), timeout)
+		c.Assert(errors.Is(err, remote.ErrLost), qt.IsTrue)
+		_, err = client().Forward(read("r"), timeout)
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+// A VM that declines a request, since it is stopping, gets no other one for a while.
+func TestDecliningVM(t *testing.T) {
+	withRouter(t, func(c *qt.C, client func() *remote.Client, executor *executor, _ *netsim.PipeListener) {
+		executor.declines = true
+		reply, err := client().Forward(write("w"), timeout)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.IsDeclined, qt.IsTrue)
+		c.Assert(client(), qt.IsNil)
+		time.Sleep(1100 * time.Millisecond)
+		c.Assert(client(), qt.IsNotNil)
+		c.Assert(executor.runs(), qt.HasLen, 0)
+	})
+}
--- /dev/null
+++ b/remote/server.go
@@ -0,0 +1,164 @@
+package remote
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/sock"
+)
+
+// serviceName is the name of the net/rpc service.
+const serviceName = "VM"
+
+// Server accepts connections of other VMs. Its exported fields must be set before Run.
+type Server struct {
+	Listener net.Listener
+	Executor Executor
+	Clock    clock.Clock
+	Log      *event.Log
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Run serves connections until ctx ends, and then closes them.
+func (server *Server) Run(ctx context.Context) error {
+	var serving sync.WaitGroup
+	acceptor := sock.Acceptor{
+		Listener: server.Listener, Clock: server.Clock, Log: server.Log,
+		Serve: func(conn net.Conn) { serving.Go(func() { server.serve(conn) }) },
+	}
+	err := acceptor.Run(ctx)
+	server.closeAll()
+	serving.Wait()
+	return err
+}
+
+// serve serves one connection until it ends, and then rolls its transactions back.
+func (server *Server) serve(conn net.Conn) {
+	server.mu.Lock()
+	if server.conns == nil {
+		server.conns = make(map[net.Conn]struct{})
+	}
+	server.conns[conn] = struct{}{}
+	server.mu.Unlock()
+	service := &service{executor: server.Executor, log: server.Log, transactions: make(map[uint64]Transaction)}
+	rpcServer := rpc.NewServer()
+	if err := rpcServer.RegisterName(serviceName, service); err != nil {
+		server.Log.Write(event.TaskEnded, event.Fields{"error": err.Error()})
+		return
+	}
+	rpcServer.ServeConn(conn)
+	service.closeAll()
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	delete(server.conns, conn)
+}
+
+func (server *Server) closeAll() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for conn := range server.conns {
+		// ServeConn closes it as well.
+		_ = conn.Close()
+	}
+}
+
+// service has the methods that another VM calls on one connection.
+type service struct {
+	executor Executor
+	log      *event.Log
+
+	mu           sync.Mutex
+	isClosed     bool
+	transactions map[uint64]Transaction
+}
+
+// Ping answers at once.
+func (*service) Ping(_ *bool, _ *bool) error { return nil }
+
+// Execute runs a statement. A panic fails this request only.
+func (service *service) Execute(request *Request, reply *Reply) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			service.log.Write(event.PanicContained, event.Fields{"request": request.ID, "error": fmt.Sprint(cause)})
+			err = errors.Newf("request %s failed: %v", request.ID, cause)
+		}
+	}()
+	switch {
+	case request.Transaction == 0:
+		*reply = service.executor.Execute(*request)
+	case request.IsFirst:
+		*reply = service.open(*request)
+	default:
+		*reply = service.next(*request)
+	}
+	return nil
+}
+
+func (service *service) open(request Request) Reply {
+	transaction, reply := service.executor.Open(request)
+	if transaction == nil {
+		return reply
+	}
+	service.mu.Lock()
+	isClosed := service.isClosed
+	if !isClosed {
+		service.transactions[request.Transaction] = transaction
+	}
+	service.mu.Unlock()
+	if isClosed {
+		transaction.Close()
+	}
+	return reply
+}
+
+func (service *service) next(request Request) Reply {
+	service.mu.Lock()
+	transaction, ok := service.transactions[request.Transaction]
+	service.mu.Unlock()
+	if !ok {
+		return Reply{Answer: proto.Answer{Code: proto.Aborted, Text: "transaction is not open", State: proto.Broken}}
+	}
+	reply := transaction.Execute(request)
+	if reply.Answer.State != proto.Open {
+		service.remove(request.Transaction)
+	}
+	return reply
+}
+
+// Abort rolls a transaction back.
+func (service *service) Abort(transaction *uint64, _ *bool) error {
+	service.remove(*transaction)
+	return nil
+}
+
+// remove closes a transaction, if it is open.
+func (service *service) remove(id uint64) {
+	service.mu.Lock()
+	transaction, ok := service.transactions[id]
+	delete(service.transactions, id)
+	service.mu.Unlock()
+	if ok {
+		transaction.Close()
+	}
+}
+
+func (service *service) closeAll() {
+	service.mu.Lock()
+	service.isClosed = true
+	transactions := service.transactions
+	service.transactions = nil
+	service.mu.Unlock()
+	for _, transaction := range transactions {
+		transaction.Close()
+	}
+}
--- /dev/null
+++ b/vmrun/routing.go
@@ -0,0 +1,139 @@
+package vmrun
+
+import (
+	"context"
+	"slices"
+
+	"github.com/bramleydoor/bramleydoor/dbpool"
+	"github.com/bramleydoor/bramleydoor/engine"
+	"github.com/bramleydoor/bramleydoor/owner"
+	"github.com/bramleydoor/bramleydoor/remote"
+)
+
+// Where the VMs' equal shares of a database's connections are scarce, few VMs in each
+// availability zone route a group: the first ones by rendezvous hashing. The others forward
+// requests to the first one that is usable.
+
+const (
+	// maxRouters is how many VMs of a zone may route a group: the first one, and another
+	// that takes over while the first is not usable.
+	maxRouters = 2
+	// reserveDivisor keeps a part of a connection limit free for VMs that start and stop.
+	reserveDivisor = 10
+	// overcommit is how many times its part of a connection limit a VM may open: traffic
+	// is uneven across VMs, and they close unused connections. The database refuses
+	// connections beyond its limit.
+	overcommit = 2
+)
+
+// zoneGroup is a database group in an availability zone.
+type zoneGroup struct{ zone, group string }
+
+// equalShare returns the connections to each database of a group that every VM may open if
+// all route the group.
+func (vm *VM) equalShare(group string) int {
+	return max(1, vm.availableConns(group)/max(vm.vmList.count(vm.Clock.Now()), overcommit))
+}
+
+// availableConns returns the connections to each database of a group that all VMs together
+// may try to open.
+func (vm *VM) availableConns(group string) int {
+	limit := 1
+	if current := vm.config.Load(); current != nil {
+		limit = current.Upstreams[group].MaxConnections
+	}
+	return (limit - limit/reserveDivisor) * overcommit
+}
+
+// connectionShare returns the VM's limit on connections to each database of a group. Where
+// shares are scarce, the routing VMs of each zone have an equal part of the connections.
+func (vm *VM) connectionShare(group string) int {
+	share := vm.equalShare(group)
+	if vm.peers == nil || share >= dbpool.ScarceShare || !slices.Contains(vm.routersOf(group), vm.id()) {
+		return share
+	}
+	return max(share, vm.availableConns(group)/vm.vmList.zones())
+}
+
+// routersOf returns the VMs of this VM's zone that may route a group, the first choice
+// first.
+func (vm *VM) routersOf(group string) []string {
+	ranked := vm.vmList.rank(zoneGroup{zone: vm.Zone, group: group}, vm.id())
+	return ranked[:min(len(ranked), maxRouters)]
+}
+
+// Routers returns the VMs to which a request for a group may be forwarded now. There is
+// none if this VM is the group's routing VM, or shares are not scarce.
+func (vm *VM) Routers(group string) []*remote.Client {
+	if vm.equalShare(group) >= dbpool.ScarceShare {
+		return nil
+	}
+	var usable []*remote.Client
+	for _, id := range vm.routersOf(group) {
+		if id == vm.id() {
+			break
+		}
+		if client := vm.peers.Usable(id); client != nil {
+			usable = append(usable, client)
+		}
+	}
+	return usable
+}
+
+// serveForwarded runs requests that other VMs forward, until ctx ends.
+func (vm *VM) serveForwarded(ctx context.Context) error {
+	if vm.PeerListener == nil {
+		<-ctx.Done()
+		return nil
+	}
+	defer vm.peers.Close()
+	server := &remote.Server{
+		Listener: vm.PeerListener, Executor: engine.Executor{Engine: vm.engine}, Clock: vm.Clock, Log: vm.Log,
+	}
+	return server.Run(ctx)
+}
+
+// retainRouters closes the connections to VMs that are no longer listed.
+func (vm *VM) retainRouters() {
+	if vm.peers == nil {
+		return
+	}
+	listed := make(map[string]bool)
+	for _, id := range vm.vmList.names() {
+		listed[id] = true
+	}
+	vm.peers.Retain(listed)
+}
+
+// rank returns the VMs of a zone in the order in which they route a group. self is a VM of
+// the zone, whether it is listed or not.
+func (vmList *vmList) rank(key zoneGroup, self string) []string {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	if ranked, ok := vmList.ranks[key]; ok {
+		return ranked
+	}
+	ids := []string{self}
+	for recordKey, record := range vmList.records {
+		if id := vmID(recordKey); record.zone == key.zone && id != self {
+			ids = append(ids, id)
+		}
+	}
+	if vmList.ranks == nil {
+		vmList.ranks = make(map[zoneGroup][]string)
+	}
+	ranked := owner.Rank(key.group, ids)
+	vmList.ranks[key] = ranked
+	return ranked
+}
+
+// zones returns the number of availability zones with VMs, at least 1.
+func (vmList *vmList) zones() int {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	zones := make(map[string]bool)
+	for _, record := range vmList.records {
+		zones[record.zone] = true
+	}
+	return max(len(zones), 1)
+}
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -35,6 +35,8 @@
 	"github.com/bramleydoor/bramleydoor/lease"
 	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/remote"
+	"github.com/bramleydoor/bramleydoor/sock"
 	"github.com/bramleydoor/bramleydoor/stats"
 	"github.com/bramleydoor/bramleydoor/store"
 )
@@ -66,6 +68,10 @@
 	// PeerConn exchanges datagrams with other VMs, which all listen on PeerPort.
 	PeerConn net.PacketConn
 	PeerPort uint16
+	// PeerListener accepts the connections on which other VMs forward requests, and DialPeer
+	// connects to another VM's. Without PeerListener no requests are forwarded.
+	PeerListener net.Listener
+	DialPeer     func(ctx context.Context, vm string) (net.Conn, error)
 	// Listener accepts callers.
 	Listener net.Listener
 	Clock    clock.Clock
@@ -79,6 +85,7 @@
 	leases  *lease.Agent
 	members members
 	vmList  vmList
+	peers   *remote.Clients
 
 	configFeed, memberFeed *feed
 
@@ -114,6 +121,7 @@
 			kernel.TaskFunc(vm.sweepMembers),
 			vm.leases,
 			kernel.TaskFunc(vm.accept),
+			kernel.TaskFunc(vm.serveForwarded),
 		)
 	}()
 	electorCtx, releaseLeadership := context.WithCancel(ctx)
@@ -148,6 +156,10 @@
 		Config: &vm.config, Groups: vm, Pools: vm.pools, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
 		Acks: &acks.Waiter{Pools: vm.pools, Clock: vm.Clock},
 	}
+	if vm.PeerListener != nil {
+		vm.peers = &remote.Clients{Dial: vm.DialPeer, Clock: vm.Clock, Log: vm.Log}
+		vm.engine.Routers = vm
+	}
 	vm.elector = &leader.Elector{
 		Store: vm.Store, Clock: vm.Clock, Log: vm.Log,
 		VM: vm.id(), Process: uint64(vm.Clock.Now().UnixNano()),
@@ -200,39 +212,13 @@
 	return nil
 }
 
-// connectionShare returns the VM's limit on connections to each database of a group.
-// Traffic is uneven across VMs, and they close unused connections, so each may open
-// overcommit times its equal part; the database refuses connections beyond its limit.
-func (vm *VM) connectionShare(group string) int {
-	const (
-		reserveDivisor = 10 // a tenth stays free for VMs that start and stop
-		overcommit     = 2
-	)
-	limit := 1
-	if current := vm.config.Load(); current != nil {
-		limit = current.Upstreams[group].MaxConnections
-	}
-	return max(1, (limit-limit/reserveDivisor)*overcommit/max(vm.vmList.count(vm.Clock.Now()), overcommit))
-}
-
 // accept accepts callers until ctx ends, and serves each on its own goroutine.
 func (vm *VM) accept(ctx context.Context) error {
-	go func() {
-		<-ctx.Done()
-		if err := vm.Listener.Close(); err != nil {
-			vm.Log.Write(event.TaskEnded, event.Fields{"error": err.Error()})
-		}
-	}()
-	for {
-		conn, err := vm.Listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		vm.callers.Go(func() { vm.serve(conn) })
+	acceptor := sock.Acceptor{
+		Listener: vm.Listener, Clock: vm.Clock, Log: vm.Log,
+		Serve: func(conn net.Conn) { vm.callers.Go(func() { vm.serve(conn) }) },
 	}
+	return acceptor.Run(ctx)
 }
 
 func (vm *VM) serve(conn net.Conn) {
@@ -253,6 +239,7 @@
 func (vm *VM) stop() {
 	vm.Log.Write(event.Stopping, event.Fields{"reason": "signal"})
 	vm.markStopping()
+	vm.engine.Enter(engine.Declining)
 	began := vm.Clock.Now()
 	vm.waitUntil(began.Add(min(notReadyDelay, vm.ShutdownTimeout*2/5)))
 	vm.engine.Enter(engine.Closing)
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +24,7 @@
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/fakekv"
 	"github.com/bramleydoor/bramleydoor/fakeup"
+	"github.com/bramleydoor/bramleydoor/netsim"
 	"github.com/bramleydoor/bramleydoor/proto"
 	"github.com/bramleydoor/bramleydoor/stats"
 	"github.com/bramleydoor/bramleydoor/vmrun"
@@ -38,6 +41,32 @@
 	mu      sync.Mutex
 	queues  map[string]chan packet
 	blocked map[string]bool
+	// peers has the listeners for forwarded requests, by IP address.
+	peers map[string]*netsim.PipeListener
+}
+
+// listen returns the listener for forwarded requests of an IP address.
+func (network *network) listen(ip string) *netsim.PipeListener {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	listener := &netsim.PipeListener{}
+	listener.Open()
+	network.peers[ip] = listener
+	return listener
+}
+
+// dialFrom returns the function by which the VM at an IP address connects to others.
+func (network *network) dialFrom(from string) func(ctx context.Context, vm string) (net.Conn, error) {
+	return func(ctx context.Context, vm string) (net.Conn, error) {
+		_, ip, _ := strings.Cut(vm, "@")
+		network.mu.Lock()
+		listener, isBlocked := network.peers[ip], network.blocked[ip] || network.blocked[from]
+		network.mu.Unlock()
+		if listener == nil || isBlocked {
+			return nil, syscall.ECONNREFUSED
+		}
+		return listener.Dial(ctx)
+	}
 }
 
 type packet struct {
@@ -151,7 +180,9 @@
 func newFleet(count int) *fleet {
 	fleet := &fleet{
 		tree: &fakekv.Tree{}, upstream: fakeup.New("ledger"),
-		network: &network{queues: make(map[string]chan packet), blocked: make(map[string]bool)},
+		network: &network{
+			queues: make(map[string]chan packet), blocked: make(map[string]bool), peers: make(map[string]*netsim.PipeListener),
+		},
 	}
 	fleet.configure(1)
 	fleet.registerAll()
@@ -222,6 +253,7 @@
 		},
 		Name: name, Address: ip, Zone: "zone-a", ShutdownTimeout: 6 * time.Second,
 		PeerConn: fleet.network.open(ip), PeerPort: 7440, Listener: started.listener,
+		PeerListener: fleet.network.listen(ip), DialPeer: fleet.network.dialFrom(ip),
 		Clock: clock.System{}, Log: event.NewLog(logger, name), Stats: &stats.Stats{},
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -17,6 +17,9 @@
 type vmList struct {
 	mu      sync.Mutex
 	records map[string]observedRecord
+	// ranks has the VMs of an availability zone in the order in which they route a group,
+	// as far as they were asked for since the records changed.
+	ranks map[zoneGroup][]string
 	// leaderCount is the number of VMs that a leader reported at leaderCountAt.
 	leaderCount   int
 	leaderCountAt time.Time
@@ -34,17 +37,21 @@
 // observedRecord is the state of a VM's record as this VM last read it.
 type observedRecord struct {
 	revision uint64
+	zone     string
 	// observedAt is when this VM first read the record's revision.
 	observedAt time.Time
 }
 
+// vmID returns the ID of the VM whose record has a key.
+func vmID(recordKey string) string { return strings.TrimPrefix(recordKey, vmPrefix) }
+
 // names returns the IDs of the VMs in the list.
 func (vmList *vmList) names() []string {
 	vmList.mu.Lock()
 	defer vmList.mu.Unlock()
 	names := make([]string, 0, len(vmList.records))
 	for key := range vmList.records {
-		names = append(names, strings.TrimPrefix(key, vmPrefix))
+		names = append(names, vmID(key))
 	}
 	return names
 }
@@ -97,11 +104,13 @@
 		}
 		var record vmRecord
 		hasLeft := json.Unmarshal(item.Value, &record) == nil && record.HasLeft
+		observed.zone = record.Zone
 		if !hasLeft && now.Sub(observed.observedAt) <= vmRecordTTL {
 			next[item.Key] = observed
 		}
 	}
 	vmList.records = next
+	clear(vmList.ranks)
 }
 
 // syncVMList periodically writes the VM's own record and reads those of all VMs,
@@ -126,6 +135,7 @@
 		}
 		if items, _, err := vm.Store.Range(ctx, vmPrefix, true); err == nil {
 			vm.vmList.update(items, vm.Clock.Now())
+			vm.retainRouters()
 		}
 		select {
 		case <-ctx.Done():
