Get changes of the store from the leader

Cause: the leader reports to each VM that the store has changed, and each VM then read the whole prefix again.

Change: a VM that lacks changes asks the leader for them (remote's Changes), and reads the store only if that fails. Feeds keep a bounded history for it.

--- a/remote/client.go
+++ b/remote/client.go
@@ -251,6 +251,27 @@
 	return reply, err
 }
 
+// Changes asks the VM for the changes of a prefix of the store. The errors are ErrNotSent and
+// ErrLost.
+func (client *Client) Changes(query ChangesQuery, timeout time.Duration) (Changes, error) {
+	current := client.connection()
+	if current == nil {
+		return Changes{}, ErrNotSent
+	}
+	changes := new(Changes)
+	pending := current.client.Go(serviceName+".Changes", &query, changes, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+		if pending.Error != nil {
+			client.fail(current, pending.Error)
+			return Changes{}, errors.Mark(pending.Error, ErrLost)
+		}
+		return *changes, nil
+	case <-client.clock.After(timeout):
+		return Changes{}, errTimeout
+	}
+}
+
 // errTimeout means that the VM is alive but has not answered the request in time.
 var errTimeout = errors.Mark(errors.New("no answer within the timeout"), ErrLost)
 
--- a/remote/remote.go
+++ b/remote/remote.go
@@ -20,6 +20,7 @@
 	"github.com/bramleydoor/bramleydoor/config"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/store"
 )
 
 // Errors of Client and Transaction.
@@ -132,6 +133,25 @@
 	LastCommit posn.Position
 }
 
+// ChangesQuery asks for the changes of a prefix of the store after a revision.
+type ChangesQuery struct {
+	Prefix string
+	After  uint64
+}
+
+// Changes are the changes of a prefix of the store, as a VM knows them.
+type Changes struct {
+	// IsKnown is set if the VM has read the prefix.
+	IsKnown bool
+	// IsSnapshot means that Changes has all items of the prefix instead.
+	IsSnapshot bool
+	Changes    []store.Change
+	// Covered is the revision up to which the VM knows all changes, complete Age before
+	// the answer.
+	Covered uint64
+	Age     time.Duration
+}
+
 // Executor runs forwarded requests.
 type Executor interface {
 	// Execute runs a single statement.
--- a/remote/server.go
+++ b/remote/server.go
@@ -22,8 +22,10 @@
 type Server struct {
 	Listener net.Listener
 	Executor Executor
-	Clock    clock.Clock
-	Log      *event.Log
+	// ChangesAfter returns the changes of a prefix of the store that another VM lacks.
+	ChangesAfter func(query ChangesQuery) Changes
+	Clock        clock.Clock
+	Log          *event.Log
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -50,7 +52,7 @@
 	}
 	server.conns[conn] = struct{}{}
 	server.mu.Unlock()
-	service := &service{executor: server.Executor, log: server.Log, transactions: make(map[uint64]Transaction)}
+	service := &service{executor: server.Executor, changesAfter: server.ChangesAfter, log: server.Log, transactions: make(map[uint64]Transaction)}
 	rpcServer := rpc.NewServer()
 	if err := rpcServer.RegisterName(serviceName, service); err != nil {
 		server.Log.Write(event.TaskEnded, event.Fields{"error": err.Error()})
@@ -74,8 +76,9 @@
 
 // service has the methods that another VM calls on one connection.
 type service struct {
-	executor Executor
-	log      *event.Log
+	executor     Executor
+	changesAfter func(query ChangesQuery) Changes
+	log          *event.Log
 
 	mu           sync.Mutex
 	isClosed     bool
@@ -135,6 +138,14 @@
 	return reply
 }
 
+// Changes returns the changes of a prefix of the store.
+func (service *service) Changes(query *ChangesQuery, changes *Changes) error {
+	if service.changesAfter != nil {
+		*changes = service.changesAfter(*query)
+	}
+	return nil
+}
+
 // Abort rolls a transaction back.
 func (service *service) Abort(transaction *uint64, _ *bool) error {
 	service.remove(*transaction)
--- a/stats/latency.go
+++ b/stats/latency.go
@@ -55,13 +55,13 @@
 }
 
 // WriteText writes metrics as text, one per line: the counters of refusals, retries,
-// routes and replica acknowledgements by name, the number of requests, and the count,
+// routes, replica acknowledgements and store calls by name, the number of requests, and the count,
 // p50, p99 and maximum of each latency histogram in ms.
 func (stats *Stats) WriteText(writer io.Writer) error {
 	for _, counters := range []struct {
 		name   string
 		values *expvar.Map
-	}{{"refusals", &stats.Refusals}, {"retries", &stats.Retries}, {"routes", &stats.Routes}, {"receipts", &stats.ReplicaAcks}} {
+	}{{"refusals", &stats.Refusals}, {"retries", &stats.Retries}, {"routes", &stats.Routes}, {"receipts", &stats.ReplicaAcks}, {"storeCalls", &stats.StoreCalls}} {
 		counts := Counts(counters.values)
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			if _, err := fmt.Fprintf(writer, "%s.%s %d\n", counters.name, name, counts[name]); err != nil {
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -20,6 +20,8 @@
 	// ReplicaAcks counts confirmed writes, by whether a replica was known to have
 	// received them ("received") or not ("alone"). The metric is named "receipts".
 	ReplicaAcks expvar.Map
+	// StoreCalls counts calls of the platform's store by kind, whether they succeed or not.
+	StoreCalls expvar.Map
 	// Latency holds the latency histograms of answers.
 	Latency Latency
 	// Sessions is the number of callers connected now.
@@ -57,6 +59,7 @@
 	all.Set("retries", &stats.Retries)
 	all.Set("routes", &stats.Routes)
 	all.Set("receipts", &stats.ReplicaAcks)
+	all.Set("storeCalls", &stats.StoreCalls)
 	all.Set("sessions", &stats.Sessions)
 	all.Set("requests", &stats.Requests)
 	all.Set("commits", &stats.Commits)
--- a/vmrun/feed.go
+++ b/vmrun/feed.go
@@ -1,11 +1,13 @@
 package vmrun
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/leader"
 	"github.com/bramleydoor/bramleydoor/lease"
+	"github.com/bramleydoor/bramleydoor/remote"
 	"github.com/bramleydoor/bramleydoor/store"
 )
 
@@ -19,6 +21,11 @@
 	onChange     func(store.Change)
 
 	mu sync.Mutex
+	// items is the VM's copy of the prefix. history has the last changes, complete after
+	// the revision historyStart.
+	items        map[string]store.Item
+	history      []store.Change
+	historyStart uint64
 	// coveredRevision is the revision up to which all changes are known.
 	coveredRevision uint64
 	// lastChange is the revision of the last change that is known.
@@ -29,12 +36,98 @@
 	leaderChange uint64
 }
 
-// advance records that the VM knows all changes up to the revision covered, of which
-// the last has the revision lastChange.
-func (feed *feed) advance(lastChange, covered uint64, now time.Time) {
+// maxHistory is the number of changes that are kept for VMs that ask for them.
+const maxHistory = 256
+
+// applySnapshot replaces the copy by all items of the prefix, read at the revision covered
+// and complete at the time currentAt.
+func (feed *feed) applySnapshot(items []store.Item, covered uint64, currentAt time.Time) {
+	feed.onSnapshot(items)
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	feed.items = make(map[string]store.Item, len(items))
+	for _, item := range items {
+		feed.items[item.Key] = item
+		feed.lastChange = max(feed.lastChange, item.Revision)
+	}
+	feed.history, feed.historyStart = nil, covered
+	feed.coveredRevision, feed.currentAt = max(feed.coveredRevision, covered), currentAt
+}
+
+// applyChanges applies all changes up to the revision covered, complete at the time
+// currentAt.
+func (feed *feed) applyChanges(changes []store.Change, covered uint64, currentAt time.Time) {
+	for _, change := range changes {
+		feed.onChange(change)
+	}
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	for _, change := range changes {
+		if change.IsRemoved {
+			delete(feed.items, change.Key)
+		} else {
+			feed.items[change.Key] = change.Item
+		}
+		feed.lastChange = max(feed.lastChange, change.Revision)
+	}
+	feed.history = append(feed.history, changes...)
+	if excess := len(feed.history) - maxHistory; excess > 0 {
+		feed.historyStart = feed.history[excess-1].Revision
+		feed.history = slices.Clone(feed.history[excess:])
+	}
+	feed.coveredRevision, feed.currentAt = max(feed.coveredRevision, covered), currentAt
+}
+
+// changesAfter returns the changes after a revision, or all items if the history doesn't
+// reach back that far.
+func (feed *feed) changesAfter(after uint64, now time.Time) remote.Changes {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	changes := remote.Changes{
+		IsKnown: !feed.currentAt.IsZero(), IsSnapshot: after < feed.historyStart,
+		Covered: feed.coveredRevision, Age: now.Sub(feed.currentAt),
+	}
+	if changes.IsSnapshot {
+		for _, item := range feed.items {
+			changes.Changes = append(changes.Changes, store.Change{Item: item})
+		}
+		return changes
+	}
+	for _, change := range feed.history {
+		if change.Revision > after {
+			changes.Changes = append(changes.Changes, change)
+		}
+	}
+	return changes
+}
+
+// applyFromLeader applies the changes that the leader sent in answer to a request of
+// requestedAt. It returns false if they don't bring the copy up to date.
+func (feed *feed) applyFromLeader(changes remote.Changes, requestedAt time.Time) bool {
+	feed.mu.Lock()
+	needed := feed.leaderChange
+	feed.mu.Unlock()
+	if !changes.IsKnown || changes.Covered < needed {
+		return false
+	}
+	currentAt := requestedAt.Add(-changes.Age)
+	if !changes.IsSnapshot {
+		feed.applyChanges(changes.Changes, changes.Covered, currentAt)
+		return true
+	}
+	items := make([]store.Item, 0, len(changes.Changes))
+	for _, change := range changes.Changes {
+		items = append(items, change.Item)
+	}
+	feed.applySnapshot(items, changes.Covered, currentAt)
+	return true
+}
+
+// covered returns the revision up to which all changes are known.
+func (feed *feed) covered() uint64 {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
-	feed.lastChange, feed.coveredRevision, feed.currentAt = max(feed.lastChange, lastChange), max(feed.coveredRevision, covered), now
+	return feed.coveredRevision
 }
 
 // applyStatus records the status of the feed that a leader sent. Its age counts from
--- a/vmrun/feed_test.go
+++ b/vmrun/feed_test.go
@@ -7,16 +7,28 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bramleydoor/bramleydoor/lease"
+	"github.com/bramleydoor/bramleydoor/remote"
+	"github.com/bramleydoor/bramleydoor/store"
 )
 
+// newTestFeed returns a feed that records nothing but its own state.
+func newTestFeed() *feed {
+	return &feed{onSnapshot: func([]store.Item) {}, onChange: func(store.Change) {}}
+}
+
+// items returns one item, last changed at a revision.
+func items(revision uint64) []store.Item {
+	return []store.Item{{Key: "members/a", Revision: revision}}
+}
+
 // The status of a leader that has not read the prefix must not make the VM's feed count
 // as current. A status with a negative age must make it count as current as of the
 // request, and no later.
 func TestStatusUnreadOrOfNegativeAge(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	var unread, known feed
-	known.advance(4, 5, now)
+	unread, known := newTestFeed(), newTestFeed()
+	known.applySnapshot(items(4), 5, now)
 	later := now.Add(10 * time.Second)
 	known.applyStatus(unread.status(later), later)
 	c.Assert(known.isOlderThan(later, 9*time.Second), qt.IsTrue)
@@ -30,8 +42,8 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-	var known feed
-	known.advance(4, 5, now)
+	known := newTestFeed()
+	known.applySnapshot(items(4), 5, now)
 	known.applyStatus(lease.Feed{Changed: 4, AgeMS: 100}, at(1000))
 	c.Assert(known.isOlderThan(at(1000), 99*time.Millisecond), qt.IsTrue)
 	c.Assert(known.isOlderThan(at(1000), 101*time.Millisecond), qt.IsFalse)
@@ -39,6 +51,64 @@
 	known.applyStatus(lease.Feed{Changed: 6, AgeMS: 0}, at(2000))
 	c.Assert(known.isBehind(), qt.IsTrue)
 	c.Assert(known.isOlderThan(at(2000), time.Second), qt.IsTrue)
-	known.advance(6, 6, at(2100))
+	known.applyChanges([]store.Change{{Item: items(6)[0]}}, 6, at(2100))
 	c.Assert(known.isBehind(), qt.IsFalse)
 }
+
+// A VM that lacks changes gets them from the leader: those after its revision, or all items
+// if the leader's history doesn't reach back that far. It is then up to date and has the
+// same items, removed ones not among them.
+func TestChangesFromLeader(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	leader := newTestFeed()
+	leader.applySnapshot(items(4), 5, now)
+	behind, fresh := newTestFeed(), newTestFeed()
+	behind.applySnapshot(items(4), 5, now)
+	fresh.applySnapshot(nil, 1, now)
+	leader.applyChanges([]store.Change{
+		{Item: store.Item{Key: "members/b", Revision: 7}},
+		{Item: store.Item{Key: "members/a", Revision: 8}, IsRemoved: true},
+	}, 9, now)
+
+	for _, follower := range []*feed{behind, fresh} {
+		follower.applyStatus(leader.status(now), now)
+		c.Assert(follower.isBehind(), qt.IsTrue)
+		changes := leader.changesAfter(follower.covered(), now.Add(30*time.Millisecond))
+		c.Assert(changes.IsSnapshot, qt.Equals, follower == fresh)
+		c.Assert(follower.applyFromLeader(changes, now.Add(time.Second)), qt.IsTrue)
+		c.Assert(follower.isBehind(), qt.IsFalse)
+		c.Assert(follower.items, qt.DeepEquals, leader.items)
+		c.Assert(follower.currentAt, qt.Equals, now.Add(970*time.Millisecond))
+	}
+}
+
+// Changes that don't reach the revision that a leader has reported, or of a VM that has not
+// read the prefix, leave the copy as it is: it is read from the store then.
+func TestIncompleteChangesFromLeader(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	known := newTestFeed()
+	known.applySnapshot(items(4), 5, now)
+	known.applyStatus(lease.Feed{Changed: 9}, now)
+	c.Assert(known.applyFromLeader(remote.Changes{IsKnown: true, Covered: 8}, now), qt.IsFalse)
+	c.Assert(known.applyFromLeader(newTestFeed().changesAfter(5, now), now), qt.IsFalse)
+	c.Assert(known.covered(), qt.Equals, uint64(5))
+	c.Assert(known.isBehind(), qt.IsTrue)
+}
+
+// A feed keeps a bounded history, and answers with all items beyond it.
+func TestBoundedHistory(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	known := newTestFeed()
+	known.applySnapshot(nil, 1, now)
+	for revision := uint64(2); revision < 2+2*maxHistory; revision++ {
+		known.applyChanges([]store.Change{{Item: items(revision)[0]}}, revision, now)
+	}
+	c.Assert(known.history, qt.HasLen, maxHistory)
+	c.Assert(known.changesAfter(maxHistory, now).IsSnapshot, qt.IsTrue)
+	c.Assert(known.changesAfter(maxHistory, now).Changes, qt.HasLen, 1)
+	c.Assert(known.changesAfter(2*maxHistory, now).IsSnapshot, qt.IsFalse)
+	c.Assert(known.changesAfter(2*maxHistory, now).Changes, qt.HasLen, 1)
+}
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/remote"
 	"github.com/bramleydoor/bramleydoor/store"
 )
 
@@ -94,9 +95,9 @@
 	return nil
 }
 
-// followOnce reads the prefix and watches it until a call fails or the leader
-// reports a change that no watch has returned. In the latter case it returns nil, and
-// the prefix has to be read again. It calls onRead after the read.
+// followOnce reads the prefix and watches it until a call fails, or the leader reports a
+// change that neither a watch has returned nor the leader itself. In the latter case it
+// returns nil, and the prefix has to be read again. It calls onRead after the read.
 func (vm *VM) followOnce(ctx context.Context, feed *feed, onRead func()) error {
 	items, revision, err := vm.readPrefix(ctx, feed)
 	if err != nil {
@@ -104,14 +105,13 @@
 	}
 	onRead()
 	vm.assumeOutageAfterGap(feed)
-	feed.onSnapshot(items)
-	var lastChange uint64
-	for _, item := range items {
-		lastChange = max(lastChange, item.Revision)
-	}
-	feed.advance(lastChange, revision, vm.Clock.Now())
+	feed.applySnapshot(items, revision, vm.Clock.Now())
 	for {
 		if !vm.waitUntilWatchNeeded(ctx, feed) {
+			if ctx.Err() == nil && vm.readFromLeader(feed) {
+				revision = feed.covered()
+				continue
+			}
 			return ctx.Err()
 		}
 		changes, next, err := vm.Store.Watch(ctx, feed.prefix, revision, vm.watchTimeout())
@@ -119,14 +119,40 @@
 			return err
 		}
 		vm.assumeOutageAfterGap(feed)
-		lastChange = 0
-		for _, change := range changes {
-			feed.onChange(change)
-			lastChange = max(lastChange, change.Revision)
-		}
 		revision = max(revision, next)
-		feed.advance(lastChange, revision, vm.Clock.Now())
+		feed.applyChanges(changes, revision, vm.Clock.Now())
+	}
+}
+
+// leaderReadTimeout bounds a request to the leader for changes. After that the VM reads the
+// store itself.
+const leaderReadTimeout = 200 * time.Millisecond
+
+// readFromLeader gets the changes of the prefix that the VM lacks from the leader: the store
+// limits and charges the calls of all VMs together. It returns false if the copy is not up
+// to date then.
+func (vm *VM) readFromLeader(feed *feed) bool {
+	leader := vm.elector.Leader()
+	if vm.peers == nil || leader == "" || leader == vm.id() {
+		return false
+	}
+	client := vm.peers.Usable(leader)
+	if client == nil {
+		return false
+	}
+	requestedAt := vm.Clock.Now()
+	changes, err := client.Changes(remote.ChangesQuery{Prefix: feed.prefix, After: feed.covered()}, leaderReadTimeout)
+	return err == nil && feed.applyFromLeader(changes, requestedAt)
+}
+
+// changesAfter answers another VM's request for the changes of a prefix.
+func (vm *VM) changesAfter(query remote.ChangesQuery) remote.Changes {
+	for _, feed := range []*feed{vm.configFeed, vm.memberFeed} {
+		if feed.prefix == query.Prefix {
+			return feed.changesAfter(query.After, vm.Clock.Now())
+		}
 	}
+	return remote.Changes{}
 }
 
 // readPrefix reads the prefix. The first read is repeated while the store doesn't
--- a/vmrun/routing.go
+++ b/vmrun/routing.go
@@ -88,7 +88,8 @@
 	}
 	defer vm.peers.Close()
 	server := &remote.Server{
-		Listener: vm.PeerListener, Executor: engine.Executor{Engine: vm.engine}, Clock: vm.Clock, Log: vm.Log,
+		Listener: vm.PeerListener, Executor: engine.Executor{Engine: vm.engine},
+		ChangesAfter: vm.changesAfter, Clock: vm.Clock, Log: vm.Log,
 	}
 	return server.Run(ctx)
 }
