vmrun: write VM records every 15 s

Which rules rest on it: a VM may use evidence for some time after its last record; a leader waits for the evidence of every VM whose record it has seen within a longer time. Both times grow with the interval (20 to 40 s, 25 to 45 s) and keep their 5 s apart, so each rule holds as before. What it costs: a VM that died without a trace delays failovers by 600 ms for 45 s, not 25 s.

--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -41,15 +41,15 @@
 	// vmListInterval is how often the list of VMs is read, vmRecordInterval how
 	// often a VM writes its own record.
 	vmListInterval   = 4 * time.Second
-	vmRecordInterval = 6 * time.Second
+	vmRecordInterval = 15 * time.Second
 	// evidenceAllowedFor is how long after its last record was written a VM may use
 	// evidence, that is replicas' reports in place of a lease. vmRecordTTL is how long
 	// leaders regard a VM as live whose record doesn't change; it is longer, so that a
 	// leader waits for the evidence of every VM that may use it. Both outlast an outage
 	// of the store, in which no records are written. Until its record expires, a dead
 	// VM delays each failover by dbset.EvidenceDuration.
-	evidenceAllowedFor = 20 * time.Second
-	vmRecordTTL        = 25 * time.Second
+	evidenceAllowedFor = 40 * time.Second
+	vmRecordTTL        = 45 * time.Second
 	// vmRecordPropagation is how long a VM's first record must exist before the VM
 	// may use evidence: leaders have read the record by then.
 	vmRecordPropagation = vmListInterval + time.Second
