Request the leases of needed groups only

Cause: every VM requested the leases of all groups every 400 ms and polled for them where they were missing, so the leader's bytes grew with the square of the fleet. With routing VMs most VMs don't use most groups.

Change: a VM needs the groups that it routes and those that it has served itself in the last 10 s; requests, answers, polls and summaries are about these. A group that becomes needed is requested at once. The leader needs all. A VM's view of a primary counts for a failover only if it had contact with it in the last 10 s: with the views of VMs that never use a primary, a partition from all its routing VMs would not have been a third of them. A routing VM that declines a request because it alone can't reach a primary is passed over for that request only; only one that is stopping is passed over for a second.

--- a/dbset/state.go
+++ b/dbset/state.go
@@ -56,8 +56,14 @@
 	// IsUnreachable is set if the VM can't reach the primary but reaches another database
 	// of the group.
 	IsUnreachable bool
+	// HasContact is set if the primary has recently answered the VM, or failed to. Without
+	// it the VM can't tell whether it reaches the primary.
+	HasContact bool
 }
 
+// contactPeriod is how long an answer of the primary counts as recent contact.
+const contactPeriod = 10 * time.Second
+
 // View returns the state of the primary; zero if no primary is known.
 func (group *Group) View(now time.Time) View {
 	group.mu.Lock()
@@ -66,7 +72,10 @@
 	if !ok {
 		return View{}
 	}
-	return View{Primary: primary.ID, LastAnswerAt: primary.lastAnswerAt, IsUnreachable: group.isUnreachable(primary, now)}
+	return View{
+		Primary: primary.ID, LastAnswerAt: primary.lastAnswerAt, IsUnreachable: group.isUnreachable(primary, now),
+		HasContact: primary.failures > 0 || now.Sub(primary.lastAnswerAt) < contactPeriod,
+	}
 }
 
 func (group *Group) isUnreachable(primary *member, now time.Time) bool {
--- a/engine/executor.go
+++ b/engine/executor.go
@@ -18,7 +18,7 @@
 func (executor Executor) Execute(request remote.Request) remote.Reply {
 	engine := executor.Engine
 	if engine.declines(request) {
-		return remote.Reply{IsDeclined: true}
+		return engine.decline()
 	}
 	engine.forwarded.Add(1)
 	defer engine.forwarded.Add(-1)
@@ -49,6 +49,10 @@
 	return needsPrimary && group.HasLease(now) && group.View(now).IsUnreachable
 }
 
+func (engine *Engine) decline() remote.Reply {
+	return remote.Reply{IsDeclined: true, IsStopping: engine.hasReached(Declining)}
+}
+
 // newForwardedSession returns the state of another VM's session that the request needs.
 func (engine *Engine) newForwardedSession(request remote.Request) *Session {
 	session := &Session{
@@ -81,7 +85,7 @@
 func (executor Executor) Open(request remote.Request) (remote.Transaction, remote.Reply) {
 	engine := executor.Engine
 	if engine.declines(request) {
-		return nil, remote.Reply{IsDeclined: true}
+		return nil, engine.decline()
 	}
 	forwarded := &forwardedTransaction{
 		engine: engine, requests: make(chan remote.Request), replies: make(chan remote.Reply),
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -69,8 +69,10 @@
 	Leadership Leadership
 	Clock      clock.Clock
 	Log        *event.Log
-	// Groups returns all groups; Peers returns the known VMs.
+	// Groups returns all groups; Needed returns those whose leases this VM requests, nil
+	// means all. Peers returns the known VMs.
 	Groups func() []*dbset.Group
+	Needed func() []*dbset.Group
 	Peers  func() []string
 	// StoreState returns the state of the store that the leader sends with its leases.
 	// OnStoreState is called with the state that the leader sent, and the time of the
@@ -98,6 +100,9 @@
 	revocations map[string]*revocation
 	// views has the last report of each VM on the primaries.
 	views map[string]peerView
+
+	// wakeUp ends the wait for the next request.
+	wakeUp chan struct{}
 }
 
 // peerView is another VM's last report on the primaries, by group.
@@ -113,6 +118,7 @@
 	agent.revocations = make(map[string]*revocation)
 	agent.views = make(map[string]peerView)
 	agent.pending = make(map[uint64]time.Time)
+	wakeUp := agent.wakeUpLocked()
 	agent.mu.Unlock()
 	go agent.receive()
 	for {
@@ -132,10 +138,37 @@
 		case <-ctx.Done():
 			return agent.Conn.Close()
 		case <-agent.Clock.After(wait):
+		case <-wakeUp:
 		}
 	}
 }
 
+// Wake makes the agent request missing leases now, since a group has become needed.
+func (agent *Agent) Wake() {
+	agent.mu.Lock()
+	wakeUp := agent.wakeUpLocked()
+	agent.mu.Unlock()
+	select {
+	case wakeUp <- struct{}{}:
+	default:
+	}
+}
+
+// wakeUpLocked returns the channel of Wake. agent.mu must be held.
+func (agent *Agent) wakeUpLocked() chan struct{} {
+	if agent.wakeUp == nil {
+		agent.wakeUp = make(chan struct{}, 1)
+	}
+	return agent.wakeUp
+}
+
+func (agent *Agent) needed() []*dbset.Group {
+	if agent.Needed == nil {
+		return agent.Groups()
+	}
+	return agent.Needed()
+}
+
 // untilFullRequest returns the time until the next request for all leases is due.
 func (agent *Agent) untilFullRequest() time.Duration {
 	agent.mu.Lock()
@@ -147,11 +180,11 @@
 	return agent.lastFullAt.Add(interval).Sub(agent.Clock.Now())
 }
 
-// missingLeases returns the groups that have databases but no valid lease.
+// missingLeases returns the needed groups that have databases but no valid lease.
 func (agent *Agent) missingLeases() []*dbset.Group {
 	now := agent.Clock.Now()
 	var missing []*dbset.Group
-	for _, group := range agent.Groups() {
+	for _, group := range agent.needed() {
 		if !group.HasLease(now) && len(group.Members()) > 0 {
 			missing = append(missing, group)
 		}
@@ -159,18 +192,17 @@
 	return missing
 }
 
-// requestAll requests all leases from the leader, and reports to it how this VM
-// sees the primaries.
+// requestAll requests all needed leases from the leader, and reports to it how this VM
+// sees their primaries.
 func (agent *Agent) requestAll() {
 	var views []groupState
 	now := agent.Clock.Now()
-	for _, group := range agent.Groups() {
-		if view := group.View(now); view.Primary != "" {
-			views = append(views, groupState{
-				Group: group.Name, Primary: view.Primary,
-				AgeMS: ceilMS(now.Sub(view.LastAnswerAt)), IsUnreachable: view.IsUnreachable,
-			})
+	for _, group := range agent.needed() {
+		state := groupState{Group: group.Name}
+		if view := group.View(now); view.HasContact {
+			state.Primary, state.AgeMS, state.IsUnreachable = view.Primary, ceilMS(now.Sub(view.LastAnswerAt)), view.IsUnreachable
 		}
+		views = append(views, state)
 	}
 	agent.request(kindRequestAll, views)
 }
@@ -288,6 +320,9 @@
 func viewOf(request message, now time.Time) peerView {
 	peerView := peerView{at: now, groups: make(map[string]dbset.View, len(request.Groups))}
 	for _, groupState := range request.Groups {
+		if groupState.Primary == "" {
+			continue
+		}
 		peerView.groups[groupState.Group] = dbset.View{
 			Primary: groupState.Primary, IsUnreachable: groupState.IsUnreachable,
 			LastAnswerAt: now.Add(-time.Duration(groupState.AgeMS) * time.Millisecond),
@@ -362,8 +397,8 @@
 	}
 }
 
-// PeerObservations summarizes how the VMs that requested leases within
-// dbset.LeaseDuration see a group's primary.
+// PeerObservations summarizes how the VMs see a group's primary that requested leases within
+// dbset.LeaseDuration and had contact with it.
 func (agent *Agent) PeerObservations(group, primary string) promo.PeerObservations {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
@@ -374,8 +409,11 @@
 		if now.Sub(peerView.at) > dbset.LeaseDuration {
 			continue
 		}
+		view, hasContact := peerView.groups[group]
+		if !hasContact {
+			continue
+		}
 		reporting++
-		view := peerView.groups[group]
 		if view.Primary != primary {
 			continue
 		}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -115,6 +115,25 @@
 	mu         sync.Mutex
 	// extraGroups are the groups besides "ledger".
 	extraGroups []*dbset.Group
+	// needed is how many of the groups the node needs, 0 is all.
+	needed int
+}
+
+// need makes the node need the first count groups only.
+func (node *node) need(count int) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.needed = count
+}
+
+func (node *node) neededGroups() []*dbset.Group {
+	groups := node.groups()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if node.needed == 0 {
+		return groups
+	}
+	return groups[:node.needed]
 }
 
 func (node *node) addGroup(group *dbset.Group) {
@@ -181,6 +200,7 @@
 		Conn: &socket{network: network, ip: ip, inbox: inbox, closed: make(chan struct{})},
 		VM:   name, Port: 7440, Leadership: leadership, Clock: clock.System{},
 		Groups:       node.groups,
+		Needed:       node.neededGroups,
 		Peers:        func() []string { return all },
 		StoreState:   func() lease.StoreState { return lease.StoreState{} },
 		OnStoreState: func(lease.StoreState, lease.Leader, time.Time) {},
@@ -339,3 +359,58 @@
 		c.Assert(observations.PartitionedShare > 0, qt.IsTrue, qt.Commentf("%f", observations.PartitionedShare))
 	})
 }
+
+// Load: many groups, of which a VM serves few. Requests and answers are about those only.
+// When the VM needs another group, it has the lease within a round trip.
+func TestNeededGroups(t *testing.T) {
+	runThreeVMs(t, func(c *qt.C, network *network, nodes []*node) {
+		const groups = 50
+		for _, node := range nodes {
+			for i := range groups {
+				group := dbset.New(fmt.Sprintf("group%d", i), "zone-a")
+				group.SetMembers([]dbset.Member{{ID: fmt.Sprintf("a%d", i), Slots: 3}}, time.Now())
+				now := time.Now()
+				group.Report(fmt.Sprintf("a%d", i), dbset.Report{Primary: true, Term: 1}, now, now)
+				node.addGroup(group)
+			}
+		}
+		time.Sleep(time.Second)
+		network.takeCounts()
+		time.Sleep(4 * time.Second)
+		_, withAll := network.takeCounts()
+
+		for _, node := range nodes[1:] {
+			node.need(1)
+		}
+		time.Sleep(4 * time.Second)
+		network.takeCounts()
+		time.Sleep(4 * time.Second)
+		_, withOne := network.takeCounts()
+		// The leader still requests all leases from itself.
+		c.Assert(withOne <= withAll/2, qt.IsTrue, qt.Commentf("%d B with one group needed, %d B with all", withOne, withAll))
+		c.Assert(nodes[1].primary(), qt.Equals, "a")
+		c.Assert(nodes[1].groups()[1].HasLease(time.Now()), qt.IsFalse)
+
+		nodes[1].need(2)
+		nodes[1].agent.Wake()
+		synctest.Wait()
+		time.Sleep(time.Millisecond)
+		c.Assert(nodes[1].groups()[1].HasLease(time.Now()), qt.IsTrue)
+	})
+}
+
+// VMs that have had no contact with a primary for a while don't count: they can't tell
+// whether they would reach it. Otherwise, where few of many VMs use a group, a primary that
+// all of those have lost would not be replaced.
+func TestViewsWithoutContact(t *testing.T) {
+	runThreeVMs(t, func(c *qt.C, _ *network, nodes []*node) {
+		time.Sleep(11 * time.Second)
+		for range 8 {
+			nodes[1].group.Failed("a", false, time.Now())
+			nodes[1].group.Done("b", posn.Position{}, time.Now(), time.Now())
+			time.Sleep(150 * time.Millisecond)
+		}
+		observations := nodes[0].agent.PeerObservations("ledger", "a")
+		c.Assert(observations.PartitionedShare, qt.Equals, 1.0)
+	})
+}
--- a/lease/message.go
+++ b/lease/message.go
@@ -9,7 +9,7 @@
 type kind uint8
 
 const (
-	// kindRequestAll requests the leases of all groups.
+	// kindRequestAll requests the leases of all groups that the VM needs.
 	kindRequestAll kind = iota + 1
 	// kindLease answers a request.
 	kindLease
@@ -56,15 +56,14 @@
 	// StoreState is set in the answer to a request only.
 	StoreState StoreState
 	// Groups lists the leased groups, the group whose lease is revoked, in a request for
-	// all leases the groups as the requesting VM sees them, or in a request for some the
-	// names of the groups.
+	// all leases the needed groups as the requesting VM sees them, or in a request for
+	// some the names of the groups.
 	Groups []groupState
 }
 
 // includes reports whether a request covers a group.
 func (request message) includes(group string) bool {
-	return request.Kind == kindRequestAll ||
-		slices.ContainsFunc(request.Groups, func(groupState groupState) bool { return groupState.Group == group })
+	return slices.ContainsFunc(request.Groups, func(groupState groupState) bool { return groupState.Group == group })
 }
 
 // StoreState is the state of the store as the leader knows it. Other VMs use it instead of
--- a/remote/client.go
+++ b/remote/client.go
@@ -28,8 +28,8 @@
 	// connectWait is how long a request waits for the first connection to a VM. Within a
 	// zone that takes less than a millisecond.
 	connectWait = 20 * time.Millisecond
-	// declinedFor is how long a VM that declined a request receives no other one.
-	declinedFor = 1 * time.Second
+	// skippedFor is how long a stopping VM receives no requests after it declined one.
+	skippedFor = 1 * time.Second
 	// abandonAfter is how long a connection without a sign of life stays open for the
 	// requests that still wait for their answers.
 	abandonAfter = 5 * time.Second
@@ -53,7 +53,7 @@
 	connecting      chan struct{}
 	connectingSince time.Time
 	nextDialAt      time.Time
-	declinedUntil   time.Time
+	skippedUntil    time.Time
 	isClosed        bool
 	// closed is closed with the client.
 	closed chan struct{}
@@ -106,7 +106,7 @@
 func (client *Client) isUsable(now time.Time) bool {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	if client.isClosed || now.Before(client.declinedUntil) {
+	if client.isClosed || now.Before(client.skippedUntil) {
 		return false
 	}
 	if client.conn == nil {
@@ -198,11 +198,11 @@
 	client.retire(failed, cause)
 }
 
-// Declined keeps new requests from the VM for declinedFor, after it has declined one.
-func (client *Client) Declined() {
+// skip keeps new requests from the VM for skippedFor.
+func (client *Client) skip() {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	client.declinedUntil = client.clock.Now().Add(declinedFor)
+	client.skippedUntil = client.clock.Now().Add(skippedFor)
 }
 
 // connection returns the connection for a new request, or nil. It waits for one that is
@@ -245,8 +245,8 @@
 		client.fail(current, err)
 		err = errors.Mark(err, ErrLost)
 	}
-	if reply.IsDeclined {
-		client.Declined()
+	if reply.IsStopping {
+		client.skip()
 	}
 	return reply, err
 }
--- a/remote/remote.go
+++ b/remote/remote.go
@@ -125,9 +125,10 @@
 
 // Reply is the answer to a Request.
 type Reply struct {
-	// IsDeclined means that the VM does not take the request, so it did not run.
-	IsDeclined bool
-	Answer     proto.Answer
+	// IsDeclined means that the VM does not take the request, so it did not run. IsStopping
+	// means that it takes no other request either.
+	IsDeclined, IsStopping bool
+	Answer                 proto.Answer
 	// LastCommit is the position of the session's last commit in the group; zero if the
 	// request committed nothing.
 	LastCommit posn.Position
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -17,6 +17,9 @@
 	// seldomPollInterval is the interval for the other databases: the leader has to
 	// know which replicas it could promote.
 	seldomPollInterval = 2500 * time.Millisecond
+	// unneededInterval is how often a VM checks whether it has to poll a group that it
+	// didn't need.
+	unneededInterval = 250 * time.Millisecond
 	// summaryInterval is how often the state of the groups is logged.
 	summaryInterval = 5 * time.Second
 	// pollTimeout bounds one poll. A database with a long queue may exceed it, but
@@ -71,18 +74,30 @@
 			vm.Log.Write(event.TaskEnded, event.Fields{"error": err.Error()})
 		}
 	})
-	vm.groupTasks.Go(func() { vm.poll(ctx, group) })
-	return &groupEntry{group: group, stop: stop}
+	entry := &groupEntry{group: group, stop: stop, isUsed: make(chan struct{}, 1)}
+	vm.groupTasks.Go(func() { vm.poll(ctx, entry) })
+	return entry
 }
 
 // poll requests reports from the databases of a group, from each at its poll rate.
-// Polls run concurrently, so that a slow database doesn't delay the others.
-func (vm *VM) poll(ctx context.Context, group *dbset.Group) {
+// Polls run concurrently, so that a slow database doesn't delay the others. A group that the
+// VM doesn't need is not polled, except by the leader.
+func (vm *VM) poll(ctx context.Context, entry *groupEntry) {
+	group := entry.group
 	polledAt := make(map[string]time.Time)
 	inFlight := make(map[string]chan struct{})
 	for {
 		now := vm.Clock.Now()
 		_, isLeader := vm.elector.Holds(0)
+		if !isLeader && !vm.isNeeded(entry) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-vm.Clock.After(unneededInterval):
+			case <-entry.isUsed:
+			}
+			continue
+		}
 		group.AllowEvidence(vm.vmList.mayUseEvidence(now))
 		for id, rate := range group.PollRates(isLeader, now) {
 			if rate == dbset.NoPoll || now.Sub(polledAt[id]) < intervalFor(rate) || isRunning(inFlight[id]) {
@@ -143,7 +158,7 @@
 	_, _ = promo.SendControl(group, pool, vm.Clock, proto.GetReport{}, pollTimeout)
 }
 
-// summarize logs the state of each group, so that operators can explain a failure
+// summarize logs the state of each group that the VM needs, and as the leader of all, so that operators can explain a failure
 // afterwards.
 func (vm *VM) summarize() {
 	now := vm.Clock.Now()
@@ -151,7 +166,7 @@
 		return
 	}
 	vm.summarizedAt = now
-	for _, group := range vm.allGroups() {
+	for _, group := range vm.neededGroups() {
 		vm.Log.Write(event.GroupState, event.Fields{
 			"group": group.Name, "term": group.Term(), "slots": group.Summary(now),
 			"links":  vm.pools.Summary(group.Name),
--- a/vmrun/routing.go
+++ b/vmrun/routing.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/bramleydoor/bramleydoor/dbpool"
+	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/engine"
 	"github.com/bramleydoor/bramleydoor/owner"
 	"github.com/bramleydoor/bramleydoor/remote"
@@ -80,6 +82,56 @@
 	return usable
 }
 
+// neededFor is how long a VM needs a group after a request for it.
+const neededFor = 10 * time.Second
+
+// neededGroups returns the groups whose primary leases the VM requests: those that it routes
+// and those that it has served requests for, for instance without a usable routing VM. The
+// leader needs all.
+func (vm *VM) neededGroups() []*dbset.Group {
+	if vm.IsLeader() {
+		return vm.allGroups()
+	}
+	vm.mu.Lock()
+	entries := make([]*groupEntry, 0, len(vm.groups))
+	for _, entry := range vm.groups {
+		entries = append(entries, entry)
+	}
+	vm.mu.Unlock()
+	var needed []*dbset.Group
+	for _, entry := range entries {
+		if vm.isNeeded(entry) {
+			needed = append(needed, entry.group)
+		}
+	}
+	return needed
+}
+
+func (vm *VM) isNeeded(entry *groupEntry) bool {
+	name := entry.group.Name
+	return vm.peers == nil || vm.equalShare(name) >= dbpool.ScarceShare ||
+		slices.Contains(vm.routersOf(name), vm.id()) || vm.isRecentlyUsed(entry)
+}
+
+func (vm *VM) isRecentlyUsed(entry *groupEntry) bool {
+	return vm.Clock.Now().Sub(time.Unix(0, entry.usedAt.Load())) < neededFor
+}
+
+// markUsed records a request for a group. If the VM didn't need the group before, the lease
+// is requested at once.
+func (vm *VM) markUsed(entry *groupEntry) {
+	wasNeeded := vm.isNeeded(entry)
+	entry.usedAt.Store(vm.Clock.Now().UnixNano())
+	if wasNeeded {
+		return
+	}
+	vm.leases.Wake()
+	select {
+	case entry.isUsed <- struct{}{}:
+	default:
+	}
+}
+
 // serveForwarded runs requests that other VMs forward, until ctx ends.
 func (vm *VM) serveForwarded(ctx context.Context) error {
 	if vm.PeerListener == nil {
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -21,6 +21,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/acks"
@@ -104,6 +105,10 @@
 type groupEntry struct {
 	group *dbset.Group
 	stop  context.CancelFunc
+	// usedAt is when the VM last served a request for the group; isUsed receives a value
+	// when the group becomes needed by a request.
+	usedAt atomic.Int64
+	isUsed chan struct{}
 }
 
 // Run serves until ctx ends, and then makes a planned stop. It returns the error of
@@ -167,7 +172,7 @@
 	}
 	vm.leases = &lease.Agent{
 		Conn: vm.PeerConn, VM: vm.id(), Port: vm.PeerPort, Leadership: vm.elector, Clock: vm.Clock, Log: vm.Log,
-		Groups: vm.allGroups, Peers: vm.vmList.names, StoreState: vm.storeState, OnStoreState: vm.applyStoreState,
+		Groups: vm.allGroups, Needed: vm.neededGroups, Peers: vm.vmList.names, StoreState: vm.storeState, OnStoreState: vm.applyStoreState,
 	}
 	vm.elector.LastMessageAt = vm.leases.LastAnswerAt
 	vm.groups = make(map[string]*groupEntry)
@@ -203,14 +208,16 @@
 	vm.isReady, vm.isStopping = false, true
 }
 
-// Group returns the database group of an upstream, or nil if there is none.
+// Group returns the database group of an upstream for a request, or nil if there is none.
 func (vm *VM) Group(name string) *dbset.Group {
 	vm.mu.Lock()
-	defer vm.mu.Unlock()
-	if entry, ok := vm.groups[name]; ok {
-		return entry.group
+	entry, ok := vm.groups[name]
+	vm.mu.Unlock()
+	if !ok {
+		return nil
 	}
-	return nil
+	vm.markUsed(entry)
+	return entry.group
 }
 
 // accept accepts callers until ctx ends, and serves each on its own goroutine.
