--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/remote"
 	"github.com/bramleydoor/bramleydoor/store"
 )
 
@@ -40,15 +41,15 @@
 	// vmListInterval is how often the list of VMs is read, vmRecordInterval how
 	// often a VM writes its own record.
 	vmListInterval   = 4 * time.Second
-	vmRecordInterval = 6 * time.Second
+	vmRecordInterval = 15 * time.Second
 	// evidenceAllowedFor is how long after its last record was written a VM may use
 	// evidence, that is replicas' reports in place of a lease. vmRecordTTL is how long
 	// leaders regard a VM as live whose record doesn't change; it is longer, so that a
 	// leader waits for the evidence of every VM that may use it. Both outlast an outage
 	// of the store, in which no records are written. Until its record expires, a dead
 	// VM delays each failover by dbset.EvidenceDuration.
-	evidenceAllowedFor = 20 * time.Second
-	vmRecordTTL        = 25 * time.Second
+	evidenceAllowedFor = 40 * time.Second
+	vmRecordTTL        = 45 * time.Second
 	// vmRecordPropagation is how long a VM's first record must exist before the VM
 	// may use evidence: leaders have read the record by then.
 	vmRecordPropagation = vmListInterval + time.Second
@@ -94,9 +95,9 @@
 	return nil
 }
 
-// followOnce reads the prefix and watches it until a call fails or the leader
-// reports a change that no watch has returned. In the latter case it returns nil, and
-// the prefix has to be read again. It calls onRead after the read.
+// followOnce reads the prefix and watches it until a call fails, or the leader reports a
+// change that neither a watch has returned nor the leader itself. In the latter case it
+// returns nil, and the prefix has to be read again. It calls onRead after the read.
 func (vm *VM) followOnce(ctx context.Context, feed *feed, onRead func()) error {
 	items, revision, err := vm.readPrefix(ctx, feed)
 	if err != nil {
@@ -104,14 +105,13 @@
 	}
 	onRead()
 	vm.assumeOutageAfterGap(feed)
-	feed.onSnapshot(items)
-	var lastChange uint64
-	for _, item := range items {
-		lastChange = max(lastChange, item.Revision)
-	}
-	feed.advance(lastChange, revision, vm.Clock.Now())
+	feed.applySnapshot(items, revision, vm.Clock.Now())
 	for {
 		if !vm.waitUntilWatchNeeded(ctx, feed) {
+			if ctx.Err() == nil && vm.readFromLeader(feed) {
+				revision = feed.covered()
+				continue
+			}
 			return ctx.Err()
 		}
 		changes, next, err := vm.Store.Watch(ctx, feed.prefix, revision, vm.watchTimeout())
@@ -119,14 +119,40 @@
 			return err
 		}
 		vm.assumeOutageAfterGap(feed)
-		lastChange = 0
-		for _, change := range changes {
-			feed.onChange(change)
-			lastChange = max(lastChange, change.Revision)
-		}
 		revision = max(revision, next)
-		feed.advance(lastChange, revision, vm.Clock.Now())
+		feed.applyChanges(changes, revision, vm.Clock.Now())
+	}
+}
+
+// leaderReadTimeout bounds a request to the leader for changes. After that the VM reads the
+// store itself.
+const leaderReadTimeout = 200 * time.Millisecond
+
+// readFromLeader gets the changes of the prefix that the VM lacks from the leader: the store
+// limits and charges the calls of all VMs together. It returns false if the copy is not up
+// to date then.
+func (vm *VM) readFromLeader(feed *feed) bool {
+	leader := vm.elector.Leader()
+	if vm.peers == nil || leader == "" || leader == vm.id() {
+		return false
+	}
+	client := vm.peers.Usable(leader)
+	if client == nil {
+		return false
+	}
+	requestedAt := vm.Clock.Now()
+	changes, err := client.Changes(remote.ChangesQuery{Prefix: feed.prefix, After: feed.covered()}, leaderReadTimeout)
+	return err == nil && feed.applyFromLeader(changes, requestedAt)
+}
+
+// changesAfter answers another VM's request for the changes of a prefix.
+func (vm *VM) changesAfter(query remote.ChangesQuery) remote.Changes {
+	for _, feed := range []*feed{vm.configFeed, vm.memberFeed} {
+		if feed.prefix == query.Prefix {
+			return feed.changesAfter(query.After, vm.Clock.Now())
+		}
 	}
+	return remote.Changes{}
 }
 
 // readPrefix reads the prefix. The first read is repeated while the store doesn't
