Bound what a leader partitioned with the primary can confirm and issue

The leader went on to issue leases until its own expired, 2.9 s after its last renewal, and its successor waited another lease (2,018 ms) for them: 5.1 s without a primary.

Ruled out: the successor's election (2.4 s after the partition, by the record's expiry) and sealing (3 ms).

Change: a leader issues leases for 1.5 s after its last renewal. A successor that took an expired record knows a bound for that renewal and waits only until the last lease from then has ended. A commit without an acknowledgement is confirmed only if the leader has renewed its own lease since, as well as observed the primary. Writes without acknowledgements degrade to a brief wait after 3.5 s, not 2 s: only then has the last lease of such a leader ended. The test network delivers what a VM sends to itself also when it is cut off.

--- a/acks/acks.go
+++ b/acks/acks.go
@@ -39,11 +39,10 @@
 	// for replicas that are too busy to be asked.
 	leaderFreshness = 1500 * time.Millisecond
 	// degradedWait is the maximum wait once replica acknowledgements have been missing for
-	// degradedAfter, the duration of a primary lease, since the first wait timed out. If
-	// the primary has not been replaced by then, the replicas have probably stopped
-	// receiving while the leader still reaches the primary.
+	// degradedAfter since the first wait timed out. By then the last lease has ended that
+	// a leader may have issued which is partitioned together with the primary.
 	degradedWait  = 30 * time.Millisecond
-	degradedAfter = dbset.LeaseDuration
+	degradedAfter = dbset.IssueWindow + dbset.LeaseDuration
 	// inquiryTimeout bounds one inquiry to a database.
 	inquiryTimeout = 150 * time.Millisecond
 	// initialBackoff is the pause after the first inquiry without a replica
--- a/acks/acks_test.go
+++ b/acks/acks_test.go
@@ -112,8 +112,8 @@
 
 // A write without a replica acknowledgement is confirmed after the full wait if the leader has
 // observed the primary since the write, and is in doubt otherwise. If the primary is not
-// replaced within dbset.LeaseDuration, later writes wait briefly only and are
-// confirmed.
+// replaced until the last lease of a partitioned leader has ended, later writes wait briefly
+// only and are confirmed.
 func TestNoAcknowledgement(t *testing.T) {
 	for name, test := range map[string]struct {
 		leaderObservesPrimary bool
@@ -128,7 +128,7 @@
 				outcome, took := fixture.await(fixture.write(c))
 				c.Assert(outcome, qt.Equals, test.want)
 				c.Assert(took > 700*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
-				time.Sleep(2 * time.Second)
+				time.Sleep(dbset.IssueWindow + dbset.LeaseDuration)
 				outcome, took = fixture.await(fixture.write(c))
 				c.Assert(outcome, qt.Equals, acks.PrimaryOnly)
 				c.Assert(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -33,6 +33,9 @@
 const (
 	// LeaseDuration is the length of a primary lease, counted from the VM's request.
 	LeaseDuration = 2 * time.Second
+	// IssueWindow is how long after its last renewal a leader issues leases. A leader that
+	// is partitioned from the store soon stops to, so its successor needs not wait long.
+	IssueWindow = 1500 * time.Millisecond
 	// EvidenceDuration is how long a replica's report stands in for a lease,
 	// counted from the request for the report.
 	EvidenceDuration = 600 * time.Millisecond
@@ -137,7 +140,7 @@
 	// earlier terms.
 	termStart   posn.Position
 	leasedUntil time.Time
-	// leaderObservedAt is when the leader last observed the primary, according to its leases.
+	// leaderObservedAt is the result of LeaderObservedAt.
 	leaderObservedAt time.Time
 	// token is the fencing token of the last lease or revocation.
 	token     uint64
--- a/dbset/lease.go
+++ b/dbset/lease.go
@@ -19,6 +19,8 @@
 	// answer.
 	Position posn.Position
 	Age      time.Duration
+	// LeaderAge is the time from the leader's last confirmed renewal until its answer.
+	LeaderAge time.Duration
 }
 
 // AcceptLease records a lease that was requested at requestedAt. It ignores a lease of
@@ -39,16 +41,17 @@
 	}
 	group.extendLease(requestedAt.Add(LeaseDuration), requestedAt)
 	if !lease.Position.IsZero() {
-		observedAt := requestedAt.Add(-lease.Age)
-		group.addObservation(lease.Position, observedAt)
+		group.addObservation(lease.Position, requestedAt.Add(-lease.Age))
+		// Of a leader that has not renewed its lease since, another may be about to promote.
+		observedAt := requestedAt.Add(-max(lease.Age, lease.LeaderAge))
 		if observedAt.After(group.leaderObservedAt) {
 			group.leaderObservedAt = observedAt
 		}
 	}
 }
 
-// LeaderObservedAt returns when the leader last observed the primary, according to its
-// leases.
+// LeaderObservedAt returns a time at or after which the leader observed the primary and
+// renewed its own lease, according to the leases that it issued.
 func (group *Group) LeaderObservedAt() time.Time {
 	group.mu.Lock()
 	defer group.mu.Unlock()
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -27,6 +27,8 @@
 const (
 	// TTL is the lifetime of the lease after a renewal.
 	TTL = 3 * time.Second
+	// Validity is how long after sending a renewal the leader counts on its lease.
+	Validity = TTL - clockMargin
 	// renewInterval leaves time for two failed renewals within TTL.
 	renewInterval = TTL / 3
 	// clockMargin covers the drift between the clocks of two VMs.
@@ -76,6 +78,8 @@
 	token      uint64
 	// isStopping is set before the lease is released: no further order may begin.
 	isStopping bool
+	// predecessorRenewedAt is the result of PredecessorRenewedAt.
+	predecessorRenewedAt time.Time
 	// confirmedRevision is the record's revision after the last confirmed write.
 	confirmedRevision uint64
 	// heartbeat is the last heartbeat of another leader.
@@ -122,6 +126,15 @@
 	return elector.knownLeader
 }
 
+// PredecessorRenewedAt returns an upper bound for the time at which the previous leader sent
+// its last renewal, if this VM took the lease after that had expired. Otherwise it returns
+// zero: the previous leader may have acted until this VM took the lease.
+func (elector *Elector) PredecessorRenewedAt() time.Time {
+	elector.mu.Lock()
+	defer elector.mu.Unlock()
+	return elector.predecessorRenewedAt
+}
+
 // Run acquires the lease when it is free and renews it until ctx ends; then it
 // releases the lease.
 func (elector *Elector) Run(ctx context.Context) error {
@@ -274,8 +287,15 @@
 	if old.Leader != "" && !isOwn && elector.Clock.Now().Before(expiresAt) {
 		return min(readInterval, max(expiresAt.Sub(elector.Clock.Now()), clockMargin))
 	}
+	var renewedAt time.Time
+	if old.Leader != "" && !isOwn {
+		renewedAt = elector.observedAt
+	}
 	next := record{Leader: elector.VM, Run: elector.Process, Token: old.Token + 1}
 	if elector.writeRecord(ctx, next) {
+		elector.mu.Lock()
+		elector.predecessorRenewedAt = renewedAt
+		elector.mu.Unlock()
 		elector.Log.Write(event.LeadershipTaken, event.Fields{"token": next.Token})
 		return renewInterval
 	}
@@ -305,7 +325,7 @@
 	case err == nil:
 		elector.observe(item)
 		elector.mu.Lock()
-		elector.token, elector.validUntil, elector.confirmedRevision = next.Token, sentAt.Add(TTL-clockMargin), item.Revision
+		elector.token, elector.validUntil, elector.confirmedRevision = next.Token, sentAt.Add(Validity), item.Revision
 		elector.mu.Unlock()
 		return true
 	case errors.Is(err, store.ErrConflict):
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,6 +27,7 @@
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/leader"
 	"github.com/bramleydoor/bramleydoor/promo"
 )
 
@@ -46,6 +47,9 @@
 	maxDoublings = 4
 	// clockMargin allows for clocks that run at different rates.
 	clockMargin = 50 * time.Millisecond
+	// issueReserve is the remaining validity of the leader lease below which no leases are
+	// issued: dbset.IssueWindow after the last renewal.
+	issueReserve = leader.Validity - dbset.IssueWindow
 	// maxDatagramBytes is the size of the largest message that can be received.
 	maxDatagramBytes = 60 << 10
 )
@@ -57,6 +61,9 @@
 	Holds(need time.Duration) (uint64, bool)
 	// Leader returns the leader, as far as known; "" if unknown.
 	Leader() string
+	// PredecessorRenewedAt returns an upper bound for the time of the previous leader's
+	// last renewal, or zero if it may have acted until this VM became the leader.
+	PredecessorRenewedAt() time.Time
 }
 
 // Agent requests leases, and issues them while its VM is the leader. A VM is
@@ -284,12 +291,13 @@
 }
 
 // handleRequest answers with leases for the primaries that this VM knows, if it
-// is the leader.
+// is the leader. Without a recent renewal it answers without leases.
 func (agent *Agent) handleRequest(request message) {
 	token, ok := agent.Leadership.Holds(0)
 	if !ok {
 		return
 	}
+	_, mayIssue := agent.Leadership.Holds(issueReserve)
 	now := agent.Clock.Now()
 	reply := message{Kind: kindLease, From: agent.VM, Seq: request.Seq, Token: token}
 	agent.mu.Lock()
@@ -298,7 +306,7 @@
 		agent.views[request.From] = viewOf(request, now)
 	}
 	for _, group := range agent.Groups() {
-		if _, ok := agent.revocations[group.Name]; ok || !request.includes(group.Name) {
+		if _, ok := agent.revocations[group.Name]; ok || !mayIssue || !request.includes(group.Name) {
 			continue
 		}
 		lease, ok := group.CurrentLease(now)
@@ -310,7 +318,9 @@
 			Start: lease.Start, Position: lease.Position, AgeMS: ceilMS(lease.Age),
 		})
 	}
-	agent.leasedAt[request.From] = now
+	if mayIssue {
+		agent.leasedAt[request.From] = now
+	}
 	reply.StoreState = agent.StoreState()
 	reply.StoreState.VMs = agent.countRequesters(now)
 	agent.mu.Unlock()
@@ -393,6 +403,7 @@
 		group.AcceptLease(dbset.Lease{
 			Token: reply.Token, Term: groupState.Term, Primary: groupState.Primary, Start: groupState.Start,
 			Position: groupState.Position, Age: time.Duration(groupState.AgeMS) * time.Millisecond,
+			LeaderAge: time.Duration(reply.StoreState.LeaderAgeMS) * time.Millisecond,
 		}, requestedAt)
 	}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/leader"
 	"github.com/bramleydoor/bramleydoor/lease"
 	"github.com/bramleydoor/bramleydoor/posn"
 )
@@ -86,6 +87,9 @@
 	vm     string
 	leader string
 	token  uint64
+	// renewedAt is when the lease was last renewed; zero means that it doesn't expire.
+	renewedAt            time.Time
+	predecessorRenewedAt time.Time
 }
 
 func (fakeLeadership *fakeLeadership) Leader() string {
@@ -94,10 +98,24 @@
 	return fakeLeadership.leader
 }
 
-func (fakeLeadership *fakeLeadership) Holds(time.Duration) (uint64, bool) {
+func (fakeLeadership *fakeLeadership) Holds(need time.Duration) (uint64, bool) {
 	fakeLeadership.mu.Lock()
 	defer fakeLeadership.mu.Unlock()
-	return fakeLeadership.token, fakeLeadership.leader == fakeLeadership.vm
+	isValid := fakeLeadership.renewedAt.IsZero() || time.Since(fakeLeadership.renewedAt)+need < leader.Validity
+	return fakeLeadership.token, fakeLeadership.leader == fakeLeadership.vm && isValid
+}
+
+func (fakeLeadership *fakeLeadership) PredecessorRenewedAt() time.Time {
+	fakeLeadership.mu.Lock()
+	defer fakeLeadership.mu.Unlock()
+	return fakeLeadership.predecessorRenewedAt
+}
+
+// stopRenewing makes the VM's lease expire as if it was last renewed now.
+func (fakeLeadership *fakeLeadership) stopRenewing() {
+	fakeLeadership.mu.Lock()
+	defer fakeLeadership.mu.Unlock()
+	fakeLeadership.renewedAt = time.Now()
 }
 
 func (fakeLeadership *fakeLeadership) set(leader string, token uint64) {
@@ -414,3 +432,29 @@
 		c.Assert(observations.PartitionedShare, qt.Equals, 1.0)
 	})
 }
+
+// Rule 9: a leader that can't renew its own lease stops issuing leases early, and its
+// successor waits until the last one that it may have issued has ended, and no longer.
+func TestSuccessorOfPartitionedLeader(t *testing.T) {
+	runThreeVMs(t, func(c *qt.C, network *network, nodes []*node) {
+		network.isolate("10.0.0.2", true)
+		network.isolate("10.0.0.3", true)
+		renewedAt := time.Now()
+		nodes[0].leadership.stopRenewing()
+		time.Sleep(leader.TTL + 100*time.Millisecond)
+		for _, node := range nodes[1:] {
+			node.leadership.set(nodes[1].leadership.vm, 2)
+			node.leadership.mu.Lock()
+			node.leadership.predecessorRenewedAt = renewedAt
+			node.leadership.mu.Unlock()
+		}
+		network.isolate("10.0.0.1", true)
+		network.isolate("10.0.0.2", false)
+		network.isolate("10.0.0.3", false)
+		nodes[1].reportPrimary(1, "a")
+		tookOverAt := time.Now()
+		c.Assert(nodes[1].agent.Revoke(context.Background(), "ledger"), qt.IsFalse)
+		c.Assert(time.Since(tookOverAt) <= 600*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(tookOverAt)))
+		c.Assert(nodes[0].primary(), qt.Equals, "")
+	})
+}
--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		unacked = append(unacked, vm)
-		last := agent.tokenSince
+		last := agent.lastForeignIssue()
 		if at, ok := agent.leasedAt[vm]; ok {
 			last = at
 		}
@@ -112,6 +112,16 @@
 	return unacked, expiry
 }
 
+// lastForeignIssue returns the latest time at which the previous leader may have issued a
+// lease. agent.mu must be held.
+func (agent *Agent) lastForeignIssue() time.Time {
+	renewedAt := agent.Leadership.PredecessorRenewedAt()
+	if ended := renewedAt.Add(dbset.IssueWindow); !renewedAt.IsZero() && ended.Before(agent.tokenSince) {
+		return ended
+	}
+	return agent.tokenSince
+}
+
 // Resume allows leases for a group again after Revoke.
 func (agent *Agent) Resume(group string) {
 	agent.mu.Lock()
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -27,16 +28,20 @@
 	"github.com/bramleydoor/bramleydoor/netsim"
 	"github.com/bramleydoor/bramleydoor/proto"
 	"github.com/bramleydoor/bramleydoor/stats"
+	"github.com/bramleydoor/bramleydoor/store"
 	"github.com/bramleydoor/bramleydoor/vmrun"
 )
 
+// failoverTarget is the longest time that the users allow for a change of primary.
+const failoverTarget = 10 * time.Second
+
 const (
 	configKey    = "config"
 	memberPrefix = "members/"
 )
 
 // network carries datagrams between the VMs' sockets. It drops those from and to the
-// IP addresses in blocked.
+// IP addresses in blocked, except what a VM sends to itself.
 type network struct {
 	mu      sync.Mutex
 	queues  map[string]chan packet
@@ -105,7 +110,8 @@
 	socket.network.mu.Lock()
 	defer socket.network.mu.Unlock()
 	ip := to.(*net.UDPAddr).IP.String()
-	if socket.network.blocked[ip] || socket.network.blocked[socket.address.IP.String()] {
+	own := socket.address.IP.String()
+	if ip != own && (socket.network.blocked[ip] || socket.network.blocked[own]) {
 		return len(data), nil
 	}
 	select {
@@ -161,6 +167,42 @@
 	return caller.conn, caller.database, nil
 }
 
+// cutTree is a VM's connection to the store, which a test can cut.
+type cutTree struct {
+	store.Tree
+	isCut atomic.Bool
+}
+
+// unlessCut waits for the time of a call without an answer if the connection is cut.
+func (tree *cutTree) unlessCut() error {
+	if !tree.isCut.Load() {
+		return nil
+	}
+	time.Sleep(500 * time.Millisecond)
+	return store.ErrUncertain
+}
+
+func (tree *cutTree) Range(ctx context.Context, prefix string, allowStale bool) ([]store.Item, uint64, error) {
+	if err := tree.unlessCut(); err != nil {
+		return nil, 0, err
+	}
+	return tree.Tree.Range(ctx, prefix, allowStale)
+}
+
+func (tree *cutTree) Watch(ctx context.Context, prefix string, after uint64, timeout time.Duration) ([]store.Change, uint64, error) {
+	if err := tree.unlessCut(); err != nil {
+		return nil, 0, err
+	}
+	return tree.Tree.Watch(ctx, prefix, after, timeout)
+}
+
+func (tree *cutTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+	if err := tree.unlessCut(); err != nil {
+		return store.Item{}, err
+	}
+	return tree.Tree.Swap(ctx, key, value, revision)
+}
+
 // fleet runs VMs in front of one upstream, in a synctest bubble.
 type fleet struct {
 	tree     *fakekv.Tree
@@ -173,6 +215,7 @@
 	vm       *vmrun.VM
 	name     string
 	listener *listener
+	store    *cutTree
 	stop     context.CancelFunc
 	done     chan struct{}
 }
@@ -244,10 +287,11 @@
 	started := &testVM{
 		name: name, done: make(chan struct{}),
 		listener: &listener{conns: make(chan net.Conn), closed: make(chan struct{})},
+		store:    &cutTree{Tree: fleet.tree},
 	}
 	started.vm = &vmrun.VM{
 		Adapter: vmrun.Adapter{
-			Store: fleet.tree, Dialer: fleet.upstream.DialerFrom(name), Promoter: fleet.upstream,
+			Store: started.store, Dialer: fleet.upstream.DialerFrom(name), Promoter: fleet.upstream,
 			ConfigKey: configKey, MemberPrefix: memberPrefix,
 			DecodeConfig: decodeConfig, DecodeMember: decodeMember, ReadStartup: readStartup,
 		},
@@ -516,6 +560,63 @@
 	}
 }
 
+// Rules 7 and 9, load: a network partition leaves the primary and the leader on one side, and
+// the replicas, the store and the other VMs on the other, while callers write on both sides.
+// No write is confirmed that the promotion rolls back, and writes succeed again within
+// failoverTarget.
+func TestLeaderPartitionedWithPrimary(t *testing.T) {
+	withFleet(t, func(c *qt.C, fleet *fleet) {
+		minority := fleet.leader()
+		fleet.partitionPrimaryFromAllBut(minority)
+		for _, replica := range []string{"b", "c"} {
+			fleet.upstream.Do(replica, func(database *fakeup.Database) {
+				database.IsReplicationStopped = true
+				database.UnreachableFrom = map[string]bool{minority.name: true}
+			})
+		}
+		fleet.network.mu.Lock()
+		fleet.network.blocked[minority.vm.Address] = true
+		fleet.network.mu.Unlock()
+		minority.store.isCut.Store(true)
+		began := time.Now()
+		var confirmed atomic.Int32
+		var writers sync.WaitGroup
+		for range 5 {
+			writers.Go(func() {
+				for time.Since(began) < 8*time.Second {
+					if minority.tryWrite() == proto.OK {
+						confirmed.Add(1)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		majority := fleet.vms[0]
+		if majority == minority {
+			majority = fleet.vms[1]
+		}
+		for fleet.upstream.Primary() == "a" && time.Since(began) < 8*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, replica := range []string{"b", "c"} {
+			fleet.upstream.Do(replica, func(database *fakeup.Database) { database.IsReplicationStopped = false })
+		}
+		majority.writeGap()
+		gap := time.Since(began)
+		c.Check(gap < failoverTarget, qt.IsTrue, qt.Commentf("gap %s", gap))
+		t.Logf("gap %s", gap)
+		writers.Wait()
+		var lost int
+		for _, run := range fleet.upstream.Runs() {
+			if run.Committed.Term == 1 && !fleet.upstream.Terms()[0].Start.AtLeast(run.Committed) {
+				lost++
+			}
+		}
+		c.Assert(lost > 0, qt.IsTrue)
+		c.Assert(int(confirmed.Load()), qt.Equals, 0)
+	})
+}
+
 // Rules 9 and 19: writes succeed while the leader has stopped and the store is down,
 // and a failover still works once the store is back.
 func TestLeaderAndStoreLost(t *testing.T) {
