--- a/vmrun/routing_test.go
+++ b/vmrun/routing_test.go
@@ -116,3 +116,19 @@
 		}
 	})
 }
+
+// Rule 21, load: a VM is stopped while the store does not answer it and a caller's session
+// stays open. It ends within its shutdown timeout, after which it would be killed.
+func TestPlannedStopWithoutStore(t *testing.T) {
+	withFleet(t, func(c *qt.C, fleet *fleet) {
+		for _, vm := range fleet.vms {
+			session, _ := vm.open("current")
+			vm.store.isCut.Store(true)
+			began := time.Now()
+			vm.stop()
+			<-vm.done
+			c.Check(time.Since(began) < vm.vm.ShutdownTimeout, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+			session.Leave()
+		}
+	})
+}
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -174,30 +174,33 @@
 }
 
 // unlessCut waits for the time of a call without an answer if the connection is cut.
-func (tree *cutTree) unlessCut() error {
+func (tree *cutTree) unlessCut(ctx context.Context) error {
 	if !tree.isCut.Load() {
 		return nil
 	}
-	time.Sleep(500 * time.Millisecond)
+	select {
+	case <-ctx.Done():
+	case <-time.After(1500 * time.Millisecond):
+	}
 	return store.ErrUncertain
 }
 
 func (tree *cutTree) Range(ctx context.Context, prefix string, allowStale bool) ([]store.Item, uint64, error) {
-	if err := tree.unlessCut(); err != nil {
+	if err := tree.unlessCut(ctx); err != nil {
 		return nil, 0, err
 	}
 	return tree.Tree.Range(ctx, prefix, allowStale)
 }
 
 func (tree *cutTree) Watch(ctx context.Context, prefix string, after uint64, timeout time.Duration) ([]store.Change, uint64, error) {
-	if err := tree.unlessCut(); err != nil {
+	if err := tree.unlessCut(ctx); err != nil {
 		return nil, 0, err
 	}
 	return tree.Tree.Watch(ctx, prefix, after, timeout)
 }
 
 func (tree *cutTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
-	if err := tree.unlessCut(); err != nil {
+	if err := tree.unlessCut(ctx); err != nil {
 		return store.Item{}, err
 	}
 	return tree.Tree.Swap(ctx, key, value, revision)
