remote: connect again sooner, with exponential backoff

Change: 50 ms, doubling up to 800 ms; the first failure since the last connection is logged. TestRoutingVMStartsLater (VM up after 310 ms, used before 400 ms) fails before.

--- a/remote/client.go
+++ b/remote/client.go
@@ -23,8 +23,13 @@
 	silentAfter = 150 * time.Millisecond
 	// dialTimeout bounds opening a connection, including its first sign of life.
 	dialTimeout = 500 * time.Millisecond
-	// redialInterval is the least time between the ends of two attempts to connect.
-	redialInterval = 300 * time.Millisecond
+	// initialRedialDelay is the delay before the next attempt to connect after a failure. It
+	// doubles up to maxRedialDelay with each further one. VMs that lose power together
+	// start again within some hundred milliseconds of each other.
+	initialRedialDelay = 50 * time.Millisecond
+	maxRedialDelay     = 800 * time.Millisecond
+	// maxDoublings bounds the exponent of the backoff.
+	maxDoublings = 4
 	// connectWait is how long a request waits for the first connection to a VM. Within a
 	// zone that takes less than a millisecond.
 	connectWait = 20 * time.Millisecond
@@ -52,9 +57,12 @@
 	// nil if there is none.
 	connecting      chan struct{}
 	connectingSince time.Time
-	nextDialAt      time.Time
-	skippedUntil    time.Time
-	isClosed        bool
+	// failures counts the attempts to connect that have failed since the last connection;
+	// the next one is due at nextDialAt.
+	failures     int
+	nextDialAt   time.Time
+	skippedUntil time.Time
+	isClosed     bool
 	// closed is closed with the client.
 	closed chan struct{}
 }
@@ -134,19 +142,30 @@
 		client.mu.Lock()
 		defer client.mu.Unlock()
 		defer close(done)
-		client.connecting, client.nextDialAt = nil, client.clock.Now().Add(redialInterval)
+		client.connecting = nil
 		switch {
 		case err != nil:
-			client.log.Write(event.RouterSilent, event.Fields{"peer": client.vm, "error": err.Error()})
+			client.recordFailure(err)
 		case client.isClosed:
 			opened.close()
 		default:
-			client.conn = opened
+			client.conn, client.failures = opened, 0
 			client.log.Write(event.RouterBack, event.Fields{"peer": client.vm})
 		}
 	}()
 }
 
+// recordFailure delays the next attempt to connect, and logs the first failure since the
+// last connection. client.mu must be held.
+func (client *Client) recordFailure(cause error) {
+	if client.failures == 0 {
+		client.log.Write(event.RouterSilent, event.Fields{"peer": client.vm, "error": cause.Error()})
+	}
+	delay := min(initialRedialDelay<<min(client.failures, maxDoublings), maxRedialDelay)
+	client.failures++
+	client.nextDialAt = client.clock.Now().Add(delay)
+}
+
 // open opens a connection and waits for a sign of life: a VM that is suspended may still
 // accept connections.
 func (client *Client) open() (*conn, error) {
@@ -177,8 +196,8 @@
 	if client.conn != old {
 		return
 	}
-	client.conn, client.nextDialAt = nil, client.clock.Now().Add(redialInterval)
-	client.log.Write(event.RouterSilent, event.Fields{"peer": client.vm, "error": cause.Error()})
+	client.conn = nil
+	client.recordFailure(cause)
 	if !errors.Is(cause, ErrSilent) {
 		old.close()
 		return
--- a/remote/remote_test.go
+++ b/remote/remote_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -215,3 +217,40 @@
 		c.Assert(executor.runs(), qt.HasLen, 0)
 	})
 }
+
+// Load: all VMs lose power and start again, some later than others. A VM that is not up yet
+// is used soon after it is, and is not asked for a connection for every request.
+func TestRoutingVMStartsLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		log := event.NewLog(logger, "vm1")
+		link := &netsim.PipeListener{}
+		link.Open()
+		server := &remote.Server{Listener: link, Executor: &executor{}, Clock: clock.System{}, Log: log}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go func() { _ = server.Run(ctx) }()
+		began := time.Now()
+		var dials atomic.Int32
+		clients := &remote.Clients{
+			Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+				dials.Add(1)
+				if time.Since(began) < 310*time.Millisecond {
+					return nil, syscall.ECONNREFUSED
+				}
+				return link.Dial(ctx)
+			},
+			Clock: clock.System{}, Log: log,
+		}
+		defer clients.Close()
+		clients.Usable("router")
+		for time.Since(began) < 400*time.Millisecond {
+			time.Sleep(5 * time.Millisecond)
+			clients.Usable("router")
+		}
+		c.Assert(clients.Usable("router"), qt.IsNotNil)
+		c.Assert(dials.Load() <= 5, qt.IsTrue, qt.Commentf("%d attempts to connect", dials.Load()))
+	})
+}
