vmrun: leave big changes to the store

Change: the leader answers without changes beyond 16 KB, and the VM reads the store.

TestBigChangesAreLeftToTheStore fails before: there was no bound.

--- a/vmrun/feed.go
+++ b/vmrun/feed.go
@@ -78,8 +78,13 @@
 	feed.coveredRevision, feed.currentAt = max(feed.coveredRevision, covered), currentAt
 }
 
+// maxChangesBytes bounds the values in one answer to another VM. All VMs ask the leader at
+// once, and its network link is narrow compared to the store's.
+const maxChangesBytes = 16 << 10
+
 // changesAfter returns the changes after a revision, or all items if the history doesn't
-// reach back that far.
+// reach back that far. Beyond maxChangesBytes it returns none, and the other VM reads the
+// store itself.
 func (feed *feed) changesAfter(after uint64, now time.Time) remote.Changes {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
@@ -91,13 +96,20 @@
 		for _, item := range feed.items {
 			changes.Changes = append(changes.Changes, store.Change{Item: item})
 		}
-		return changes
-	}
-	for _, change := range feed.history {
-		if change.Revision > after {
-			changes.Changes = append(changes.Changes, change)
+	} else {
+		for _, change := range feed.history {
+			if change.Revision > after {
+				changes.Changes = append(changes.Changes, change)
+			}
 		}
 	}
+	var bytes int
+	for _, change := range changes.Changes {
+		bytes += len(change.Value)
+	}
+	if bytes > maxChangesBytes {
+		return remote.Changes{}
+	}
 	return changes
 }
 
--- a/vmrun/feed_test.go
+++ b/vmrun/feed_test.go
@@ -112,3 +112,17 @@
 	c.Assert(known.changesAfter(2*maxHistory, now).IsSnapshot, qt.IsFalse)
 	c.Assert(known.changesAfter(2*maxHistory, now).Changes, qt.HasLen, 1)
 }
+
+// Load: the configuration grows by many routes. It is left to the store: the leader would
+// send it to all VMs at once over its own link.
+func TestBigChangesAreLeftToTheStore(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	leader := newTestFeed()
+	leader.applySnapshot(nil, 5, now)
+	leader.applyChanges([]store.Change{{Item: store.Item{Key: "config", Value: make([]byte, maxChangesBytes), Revision: 6}}}, 6, now)
+	c.Assert(leader.changesAfter(5, now).IsKnown, qt.IsTrue)
+	leader.applyChanges([]store.Change{{Item: store.Item{Key: "config", Value: make([]byte, maxChangesBytes+1), Revision: 7}}}, 7, now)
+	c.Assert(leader.changesAfter(6, now).IsKnown, qt.IsFalse)
+	c.Assert(leader.changesAfter(1, now).IsKnown, qt.IsFalse)
+}
