--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -105,7 +105,7 @@
 		fixture.link.Release()
 		clients.Close()
 		cancel()
-		<-stopped
+		_ = <-stopped
 	}
 	return fixture
 }
