--- a/proto/proto.go
+++ b/proto/proto.go
@@ -4,6 +4,7 @@
 package proto
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,8 +44,14 @@
 	TimedOut: "timedOut", InDoubt: "inDoubt",
 }
 
-// String returns the name of the code in logs and metrics.
-func (code Code) String() string { return codeNames[code] }
+// String returns the name of the code in logs and metrics. A code that is not known, from a
+// VM of another version, is named by its number.
+func (code Code) String() string {
+	if code < 0 || int(code) >= len(codeNames) {
+		return "code" + strconv.Itoa(int(code))
+	}
+	return codeNames[code]
+}
 
 // DidNotRun reports whether the code guarantees that the request did not run, or that
 // it had no effect.
