vmrun: split the tests' fixtures off; keep ranks while the VMs stay the same

The routing VMs of a group were ranked anew after each read of the list, every 4 s, also if it was the same.

--- /dev/null
+++ b/vmrun/fleet_test.go
@@ -0,0 +1,423 @@
+package vmrun_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+	"github.com/bramleydoor/bramleydoor/config"
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/fakekv"
+	"github.com/bramleydoor/bramleydoor/fakeup"
+	"github.com/bramleydoor/bramleydoor/netsim"
+	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/stats"
+	"github.com/bramleydoor/bramleydoor/store"
+	"github.com/bramleydoor/bramleydoor/vmrun"
+)
+
+// failoverTarget is the longest time that the users allow for a change of primary.
+const failoverTarget = 10 * time.Second
+
+const (
+	configKey    = "config"
+	memberPrefix = "members/"
+)
+
+// network carries datagrams between the VMs' sockets. It drops those from and to the
+// IP addresses in blocked, except what a VM sends to itself.
+type network struct {
+	mu      sync.Mutex
+	queues  map[string]chan packet
+	blocked map[string]bool
+	// peers has the listeners for forwarded requests, by IP address.
+	peers map[string]*netsim.PipeListener
+}
+
+// listen returns the listener for forwarded requests of an IP address.
+func (network *network) listen(ip string) *netsim.PipeListener {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	listener := &netsim.PipeListener{}
+	listener.Open()
+	network.peers[ip] = listener
+	return listener
+}
+
+// dialFrom returns the function by which the VM at an IP address connects to others.
+func (network *network) dialFrom(from string) func(ctx context.Context, vm string) (net.Conn, error) {
+	return func(ctx context.Context, vm string) (net.Conn, error) {
+		_, ip, _ := strings.Cut(vm, "@")
+		network.mu.Lock()
+		listener, isBlocked := network.peers[ip], network.blocked[ip] || network.blocked[from]
+		network.mu.Unlock()
+		if listener == nil || isBlocked {
+			return nil, syscall.ECONNREFUSED
+		}
+		return listener.Dial(ctx)
+	}
+}
+
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+type socket struct {
+	net.PacketConn
+	network *network
+	address *net.UDPAddr
+	queue   chan packet
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (network *network) open(ip string) *socket {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	address := &net.UDPAddr{IP: net.ParseIP(ip), Port: 7440}
+	opened := &socket{network: network, address: address, queue: make(chan packet, 256), closed: make(chan struct{})}
+	network.queues[ip] = opened.queue
+	return opened
+}
+
+func (socket *socket) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	select {
+	case next := <-socket.queue:
+		return copy(buffer, next.data), next.from, nil
+	case <-socket.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (socket *socket) WriteTo(data []byte, to net.Addr) (int, error) {
+	socket.network.mu.Lock()
+	defer socket.network.mu.Unlock()
+	ip := to.(*net.UDPAddr).IP.String()
+	own := socket.address.IP.String()
+	if ip != own && (socket.network.blocked[ip] || socket.network.blocked[own]) {
+		return len(data), nil
+	}
+	select {
+	case socket.network.queues[ip] <- packet{data: append([]byte(nil), data...), from: socket.address}:
+	default:
+	}
+	return len(data), nil
+}
+
+func (socket *socket) Close() error {
+	socket.once.Do(func() { close(socket.closed) })
+	return nil
+}
+
+// listener accepts the connections that a test puts into conns.
+type listener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (listener *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-listener.conns:
+		return conn, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (listener *listener) Close() error {
+	listener.once.Do(func() { close(listener.closed) })
+	return nil
+}
+
+func (listener *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// caller is a connection that carries a fake proto.CallerConn instead of bytes.
+type caller struct {
+	net.Conn
+	conn     *fakeup.CallerConn
+	database string
+}
+
+func (caller *caller) Close() error         { return nil }
+func (caller *caller) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+func readStartup(conn net.Conn) (proto.CallerConn, string, error) {
+	caller, ok := conn.(*caller)
+	if !ok {
+		return nil, "", errors.New("connection is not a caller of the test")
+	}
+	return caller.conn, caller.database, nil
+}
+
+// cutTree is a VM's connection to the store, which a test can cut.
+type cutTree struct {
+	store.Tree
+	isCut atomic.Bool
+}
+
+// unlessCut waits for the time of a call without an answer if the connection is cut.
+func (tree *cutTree) unlessCut(ctx context.Context) error {
+	if !tree.isCut.Load() {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(1500 * time.Millisecond):
+	}
+	return store.ErrUncertain
+}
+
+func (tree *cutTree) Range(ctx context.Context, prefix string, allowStale bool) ([]store.Item, uint64, error) {
+	if err := tree.unlessCut(ctx); err != nil {
+		return nil, 0, err
+	}
+	return tree.Tree.Range(ctx, prefix, allowStale)
+}
+
+func (tree *cutTree) Watch(ctx context.Context, prefix string, after uint64, timeout time.Duration) ([]store.Change, uint64, error) {
+	if err := tree.unlessCut(ctx); err != nil {
+		return nil, 0, err
+	}
+	return tree.Tree.Watch(ctx, prefix, after, timeout)
+}
+
+func (tree *cutTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+	if err := tree.unlessCut(ctx); err != nil {
+		return store.Item{}, err
+	}
+	return tree.Tree.Swap(ctx, key, value, revision)
+}
+
+// fleet runs VMs in front of one upstream, in a synctest bubble.
+type fleet struct {
+	tree     *fakekv.Tree
+	upstream *fakeup.Upstream
+	network  *network
+	vms      []*testVM
+}
+
+type testVM struct {
+	vm       *vmrun.VM
+	name     string
+	listener *listener
+	store    *cutTree
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func newFleet(count int) *fleet {
+	fleet := &fleet{
+		tree: &fakekv.Tree{}, upstream: fakeup.New("ledger"),
+		network: &network{
+			queues: make(map[string]chan packet), blocked: make(map[string]bool), peers: make(map[string]*netsim.PipeListener),
+		},
+	}
+	fleet.configure(1)
+	fleet.registerAll()
+	for range count {
+		fleet.start()
+	}
+	time.Sleep(5 * time.Second)
+	return fleet
+}
+
+func (fleet *fleet) configure(version uint64) {
+	fleet.tree.Set(configKey, []byte(fmt.Sprint(version)))
+}
+
+// registerAll writes the registrations of all databases.
+func (fleet *fleet) registerAll() {
+	for _, member := range fleet.upstream.Members() {
+		fleet.register(member)
+	}
+}
+
+func (fleet *fleet) register(member dbset.Member) {
+	value, err := json.Marshal(member)
+	if err != nil {
+		panic(err)
+	}
+	fleet.tree.Set(memberPrefix+member.ID, value)
+}
+
+func decodeConfig(value []byte) (*config.Config, error) {
+	var version uint64
+	if err := json.Unmarshal(value, &version); err != nil {
+		return nil, err
+	}
+	route := config.Route{Upstream: "ledger", Timeout: time.Second, MaxStaleness: 1500 * time.Millisecond}
+	return &config.Config{
+		Version:   version,
+		Routes:    map[string]config.Route{"current": route, fmt.Sprintf("v%d", version): route},
+		Upstreams: map[string]config.Upstream{"ledger": {Name: "ledger", MaxConnections: 30}},
+		Limits:    config.Limits{TransactionIdle: 3 * time.Second},
+	}, nil
+}
+
+func decodeMember(_ string, value []byte) (dbset.Member, error) {
+	var member dbset.Member
+	err := json.Unmarshal(value, &member)
+	return member, err
+}
+
+func (fleet *fleet) start() *testVM {
+	number := len(fleet.vms) + 1
+	ip := fmt.Sprintf("10.0.0.%d", number)
+	name := fmt.Sprintf("vm%d", number)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	if os.Getenv("BRAMLEYDOOR_TEST_LOG") != "" {
+		logger.SetOutput(os.Stderr)
+	}
+	started := &testVM{
+		name: name, done: make(chan struct{}),
+		listener: &listener{conns: make(chan net.Conn), closed: make(chan struct{})},
+		store:    &cutTree{Tree: fleet.tree},
+	}
+	started.vm = &vmrun.VM{
+		Adapter: vmrun.Adapter{
+			Store: started.store, Dialer: fleet.upstream.DialerFrom(name), Promoter: fleet.upstream,
+			ConfigKey: configKey, MemberPrefix: memberPrefix,
+			DecodeConfig: decodeConfig, DecodeMember: decodeMember, ReadStartup: readStartup,
+		},
+		Name: name, Address: ip, Zone: "zone-a", ShutdownTimeout: 6 * time.Second,
+		PeerConn: fleet.network.open(ip), PeerPort: 7440, Listener: started.listener,
+		PeerListener: fleet.network.listen(ip), DialPeer: fleet.network.dialFrom(ip),
+		Clock: clock.System{}, Log: event.NewLog(logger, name), Stats: &stats.Stats{},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	started.stop = stop
+	go func() {
+		defer close(started.done)
+		_ = started.vm.Run(ctx)
+	}()
+	fleet.vms = append(fleet.vms, started)
+	return started
+}
+
+func (fleet *fleet) close() {
+	for _, testVM := range fleet.vms {
+		testVM.stop()
+	}
+	for _, testVM := range fleet.vms {
+		<-testVM.done
+	}
+	synctest.Wait()
+}
+
+// open opens a session at a VM.
+func (testVM *testVM) open(database string) (*fakeup.CallerConn, proto.Answer) {
+	callerConn := fakeup.NewCallerConn()
+	testVM.listener.conns <- &caller{conn: callerConn, database: database}
+	return callerConn, callerConn.Start()
+}
+
+// tryWrite makes one write at a VM and returns the code of its answer.
+func (testVM *testVM) tryWrite() proto.Code { return testVM.try(proto.Write{}, "WRITE x 1") }
+
+func (testVM *testVM) try(statement proto.Statement, text string) proto.Code {
+	callerConn, answer := testVM.open("current")
+	if answer.Code != proto.OK {
+		return answer.Code
+	}
+	defer callerConn.Leave()
+	return callerConn.Ask(statement, text).Code
+}
+
+// writeGap retries writes at a VM and returns the time until one succeeds, at most
+// about 30 s.
+func (testVM *testVM) writeGap() time.Duration {
+	began := time.Now()
+	for testVM.tryWrite() != proto.OK {
+		if time.Since(began) > 30*time.Second {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (fleet *fleet) leader() *testVM {
+	for _, testVM := range fleet.vms {
+		if testVM.vm.IsLeader() {
+			return testVM
+		}
+	}
+	return nil
+}
+
+// nonLeader returns a VM that is not the leader.
+func (fleet *fleet) nonLeader() *testVM {
+	leader := fleet.leader()
+	for _, testVM := range fleet.vms {
+		if testVM != leader {
+			return testVM
+		}
+	}
+	return nil
+}
+
+func withFleet(t *testing.T, test func(c *qt.C, fleet *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(3)
+		defer fleet.close()
+		test(qt.New(t), fleet)
+	})
+}
+
+// isolate partitions a VM that is not the leader from the other VMs, and returns it.
+func (fleet *fleet) isolate() *testVM {
+	isolated := fleet.nonLeader()
+	fleet.network.mu.Lock()
+	defer fleet.network.mu.Unlock()
+	fleet.network.blocked[isolated.vm.Address] = true
+	return isolated
+}
+
+// partitionPrimaryFromAllBut makes the primary a unreachable for all VMs but one.
+func (fleet *fleet) partitionPrimaryFromAllBut(only *testVM) {
+	blocked := make(map[string]bool)
+	for _, testVM := range fleet.vms {
+		blocked[testVM.name] = testVM != only
+	}
+	fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = blocked })
+}
+
+// checkFailover makes requests at a VM while the primary a is replaced. It fails if the
+// VM returns the result of a statement that a ran after it was replaced, or if a is
+// still the primary at the end.
+func (fleet *fleet) checkFailover(c *qt.C, testVM *testVM, statement proto.Statement, requests int, pause time.Duration) {
+	text := "READ x"
+	if _, ok := statement.(proto.Write); ok {
+		text = "WRITE x 1"
+	}
+	for range requests {
+		primary := fleet.upstream.Primary()
+		before := len(fleet.upstream.Runs())
+		if testVM.try(statement, text) == proto.OK {
+			runs := fleet.upstream.Runs()[before:]
+			c.Assert(runs[len(runs)-1].Database == "a" && primary != "a", qt.IsFalse, qt.Commentf("%s", text))
+		}
+		time.Sleep(pause)
+	}
+	c.Assert(fleet.upstream.Primary(), qt.Not(qt.Equals), "a")
+}
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -109,8 +110,11 @@
 			next[item.Key] = observed
 		}
 	}
+	haveSameZones := maps.EqualFunc(vmList.records, next, func(a, b observedRecord) bool { return a.zone == b.zone })
+	if !haveSameZones {
+		clear(vmList.ranks)
+	}
 	vmList.records = next
-	clear(vmList.ranks)
 }
 
 // syncVMList periodically writes the VM's own record and reads those of all VMs,
