engine: contain a panic in a session

Cause: an unexpected error in one caller's session, or in a transaction that another VM forwards, ended the process. The session ends now, the error is logged with its stack (2008) and counted (refusals.panic), the request is in doubt for a forwarding VM, and the connection in use is closed: a pool must not get a connection in an unknown state. Only the present user of a connection can do that (dbpool.Use).

TestPanicEndsOneSession, directly and through a routing VM, single and in a transaction, ended the test process before.

--- a/dbpool/conn.go
+++ b/dbpool/conn.go
@@ -19,6 +19,32 @@
 	pool                *Pool
 	lastUsedAt          time.Time
 	isIdleInTransaction bool
+	// uses counts the uses that have ended.
+	uses uint64
+}
+
+// Use identifies one use of a connection, from Pool.Get until Put or Discard. The zero
+// value is no use.
+type Use struct {
+	conn   *Conn
+	number uint64
+}
+
+// Use returns the present use of the connection. Only its user may call it.
+func (conn *Conn) Use() Use { return Use{conn: conn, number: conn.uses} }
+
+// Abandon discards the connection if the use has not ended: its state is unknown after its
+// user has failed.
+func (use Use) Abandon() {
+	if use.conn == nil {
+		return
+	}
+	use.conn.pool.mu.Lock()
+	isCurrent := use.conn.uses == use.number
+	use.conn.pool.mu.Unlock()
+	if isCurrent {
+		use.conn.Discard()
+	}
 }
 
 // SetIdle marks the connection's transaction as idle until its caller's next statement.
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -290,6 +290,7 @@
 		return
 	}
 	pool.leaveLimiter(conn)
+	conn.uses++
 	conn.lastUsedAt = now
 	pool.idle = append(pool.idle, conn)
 	pool.serveWaiters(now)
@@ -311,6 +312,7 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	pool.leaveLimiter(conn)
+	conn.uses++
 	pool.open--
 	pool.serveWaiters(pool.Clock.Now())
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -134,6 +134,7 @@
 	engine.add(session)
 	defer engine.remove(session)
 	defer session.abandon()
+	defer session.containPanic()
 	answer := session.start()
 	answer.IsStart = true
 	if session.caller.Reply(answer) != nil || answer.Code != proto.OK {
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -139,6 +139,7 @@
 		execution.isSaturated = execution.isSaturated || errors.Is(err, dbpool.ErrNoConn)
 		return nil, err
 	}
+	execution.session.use = conn.Use()
 	if err := execution.session.restore(conn, execution.call, false); err != nil {
 		execution.group.Failed(member.ID, false, execution.session.engine.now())
 		conn.Discard()
--- a/engine/executor.go
+++ b/engine/executor.go
@@ -24,14 +24,22 @@
 	defer engine.forwarded.Add(-1)
 	session := engine.newForwardedSession(request)
 	call := request.Call()
-	var answer proto.Answer
+	// The answer after a panic: the request may have run.
+	answer := proto.Answer{Code: proto.InDoubt, Text: "panic"}
+	session.runForwarded(call, request, &answer)
+	answer.State = proto.Idle
+	return session.reply(answer)
+}
+
+// runForwarded runs a single statement and stores its answer.
+func (session *Session) runForwarded(call proto.Call, request remote.Request, answer *proto.Answer) {
+	defer session.containPanic()
+	session.requestID = call.ID
 	if request.Writes() {
-		answer = session.write(call, request.Route)
+		*answer = session.write(call, request.Route)
 	} else {
-		answer = session.read(call, request.Route)
+		*answer = session.read(call, request.Route)
 	}
-	answer.State = proto.Idle
-	return session.reply(answer)
 }
 
 // declines reports whether another VM should run the request: this VM is stopping, does not
@@ -100,6 +108,7 @@
 		defer close(forwarded.ended)
 		defer engine.remove(session)
 		defer session.abandon()
+		defer session.containPanic()
 		session.run()
 	}()
 	reply := forwarded.Execute(request)
--- a/engine/forward_test.go
+++ b/engine/forward_test.go
@@ -119,3 +119,49 @@
 		c.Assert(fixture.engine.Stats.Retries.Get("routerDeclined"), qt.IsNotNil)
 	})
 }
+
+// panickingDialer opens connections on which requests whose ID is "panic" cause a panic.
+type panickingDialer struct{ proto.Dialer }
+
+type panickingConn struct{ proto.DatabaseConn }
+
+func (dialer panickingDialer) Dial(member dbset.Member, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	conn, answer, err := dialer.Dialer.Dial(member, timeout)
+	return panickingConn{conn}, answer, err
+}
+
+func (conn panickingConn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
+	if forward, ok := request.(proto.Forward); ok && forward.ID == "panic" {
+		panic("unexpected")
+	}
+	return conn.DatabaseConn.Ask(request, timeout)
+}
+
+// An unexpected error ends one request. The VM serves on, and the connection in use is
+// closed and doesn't stay in its pool.
+func TestPanicEndsOneSession(t *testing.T) {
+	for _, inTransaction := range []bool{false, true} {
+		withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+			pools := &dbpool.Set{Dialer: panickingDialer{fixture.upstream}, Clock: clock.System{}, Share: func(string) int { return 4 }}
+			pools.SetMembers(fixture.upstream.Members())
+			serving := fixture.engine
+			if fixture.router != nil {
+				serving = fixture.router
+			}
+			serving.Pools = pools
+			failing := fixture.open("current")
+			failing.Start()
+			if inTransaction {
+				failing.Ask(begin, "BEGIN")
+				c.Assert(failing.Ask(write, "WRITE x 1").Code, qt.Equals, proto.OK)
+			}
+			failing.Send(proto.Call{ID: "panic", Text: "WRITE x 2", Statement: write})
+			time.Sleep(time.Second)
+			fixture.renewLease()
+			c.Assert(caller.Ask(write, "WRITE y 1").Code, qt.Equals, proto.OK)
+			fixture.upstream.Do("a", func(database *fakeup.Database) { c.Assert(database.Open, qt.Equals, 1) })
+			c.Assert(serving.Stats.Refusals.Get("panic").String(), qt.Equals, "1")
+			failing.Leave()
+		})
+	}
+}
--- a/engine/session.go
+++ b/engine/session.go
@@ -1,12 +1,15 @@
 package engine
 
 import (
+	"fmt"
 	"maps"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/config"
+	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
@@ -43,6 +46,9 @@
 	answerCount int
 	// arrived is when the request in progress was received.
 	arrived time.Time
+	// requestID is the ID of the request in progress, use the last use of a connection.
+	requestID string
+	use       dbpool.Use
 	// isForwarded is set if another VM forwards the session's requests to this one.
 	isForwarded bool
 	// ownCommit is the position of the last commit that the session has made here.
@@ -83,6 +89,7 @@
 		if !session.isForwarded {
 			session.arrived = session.engine.now()
 		}
+		session.requestID = call.ID
 		answer := session.serve(call)
 		if !session.isForwarded {
 			took := session.engine.now().Sub(session.arrived)
@@ -160,6 +167,23 @@
 	}
 }
 
+// containPanic ends the session after an unexpected error, so that the VM serves on. It is
+// deferred. The connection in use is closed, since its state is unknown.
+func (session *Session) containPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	session.engine.Stats.Refusals.Add("panic", 1)
+	session.engine.Log.Write(event.PanicContained, event.Fields{
+		"request": session.requestID, "error": fmt.Sprint(cause), "stack": string(debug.Stack()),
+	})
+	session.use.Abandon()
+	if session.transaction != nil {
+		session.transaction.conn = nil
+	}
+}
+
 func (session *Session) handle(call proto.Call) proto.Answer {
 	if session.transaction != nil && session.transaction.isFailed {
 		return session.handleFailed(call)
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -544,5 +544,8 @@
 	return <-callerConn.answers
 }
 
+// Send makes a call without waiting for its answer.
+func (callerConn *CallerConn) Send(call proto.Call) { callerConn.calls <- call }
+
 // Leave closes the connection; Next then returns ErrClosed.
 func (callerConn *CallerConn) Leave() { close(callerConn.calls) }
