--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -105,7 +105,9 @@
 		fixture.link.Release()
 		clients.Close()
 		cancel()
-		_ = <-stopped
+		if err := <-stopped; err != nil {
+			panic(err)
+		}
 	}
 	return fixture
 }
