--- a/remote/conn.go
+++ b/remote/conn.go
@@ -57,14 +57,7 @@
 	sentAt := conn.clock.Now()
 	pending := conn.client.Go(serviceName+".Execute", &request, reply, make(chan *rpc.Call, 1))
 	for {
-		now := conn.clock.Now()
-		remaining := timeout - now.Sub(sentAt)
-		if remaining <= 0 {
-			return Reply{}, errTimeout
-		}
-		if request.canBeGivenUp() && conn.isSilent(now) {
-			return Reply{}, ErrSilent
-		}
+		remaining := timeout - conn.clock.Now().Sub(sentAt)
 		select {
 		case <-pending.Done:
 			if pending.Error != nil {
@@ -72,7 +65,17 @@
 			}
 			return *reply, nil
 		case <-conn.clock.After(min(remaining, pingAfter)):
-			conn.pingIfQuiet(conn.clock.Now())
+		}
+		now := conn.clock.Now()
+		switch {
+		case len(pending.Done) > 0:
+			// The answer has arrived at the last moment.
+		case now.Sub(sentAt) >= timeout:
+			return Reply{}, errTimeout
+		case request.canBeGivenUp() && conn.isSilent(now):
+			return Reply{}, ErrSilent
+		default:
+			conn.pingIfQuiet(now)
 		}
 	}
 }
