--- a/engine/forward.go
+++ b/engine/forward.go
@@ -106,7 +106,8 @@
 		return proto.Answer{}, false
 	}
 	if transaction.forwarded != nil {
-		return session.forwardPinned(call, writes), true
+		answer, _ := session.forwardPinned(call, writes)
+		return answer, true
 	}
 	for _, router := range session.routers(transaction.route.Upstream) {
 		opened, err := router.Open()
@@ -114,19 +115,18 @@
 			continue
 		}
 		transaction.forwarded = opened
-		answer := session.forwardPinned(call, writes)
-		if transaction.forwarded != nil || !transaction.isDeclined {
+		answer, isDeclined := session.forwardPinned(call, writes)
+		if !isDeclined {
 			return answer, true
 		}
-		transaction.isDeclined = false
 		session.recordForwardRetry(call, transaction.route, router.VM(), "routerDeclined", "notDispatched")
 	}
 	return proto.Answer{}, false
 }
 
 // forwardPinned runs a statement, or the commit, at the routing VM of the transaction. If
-// the VM declines it, isDeclined is set and the transaction is open nowhere.
-func (session *Session) forwardPinned(call proto.Call, writes bool) proto.Answer {
+// isDeclined is true, the VM has not taken the transaction, which is open nowhere then.
+func (session *Session) forwardPinned(call proto.Call, writes bool) (answer proto.Answer, isDeclined bool) {
 	transaction := session.transaction
 	forwarded := transaction.forwarded
 	_, isCommit := call.Statement.(proto.Commit)
@@ -138,20 +138,20 @@
 	switch {
 	case err != nil && isCommit && transaction.mayHaveWritten:
 		transaction.forwarded = nil
-		return session.answerForwardInDoubt(call, transaction.route, forwarded.VM())
+		return session.answerForwardInDoubt(call, transaction.route, forwarded.VM()), false
 	case err != nil:
 		// No commit was sent, or there is nothing to commit.
 		transaction.abort()
 		transaction.isFailureReported = true
-		return session.refuse(call, proto.Aborted, "routerLost")
+		return session.refuse(call, proto.Aborted, "routerLost"), false
 	case reply.IsDeclined:
-		transaction.forwarded, transaction.isDeclined = nil, true
-		return proto.Answer{}
+		transaction.forwarded = nil
+		return proto.Answer{}, true
 	}
 	session.recordForwardedCommit(transaction.route.Upstream, reply.LastCommit)
 	if reply.Answer.State != proto.Open {
 		transaction.forwarded = nil
 		transaction.isFailed, transaction.isFailureReported = true, true
 	}
-	return reply.Answer
+	return reply.Answer, false
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -26,8 +26,6 @@
 	// forwarded is the transaction at the routing VM where it is open; nil if it is open at
 	// this VM or nowhere.
 	forwarded *remote.ClientTransaction
-	// isDeclined is set if a routing VM has declined the transaction.
-	isDeclined bool
 	// mayHaveWritten is set before the first writing statement is sent, so that it
 	// holds also if the statement's answer is lost.
 	mayHaveWritten bool
