leader, lease: two bounds that were off for a moment

Found on reading the diff. PredecessorRenewedAt was stored after the lease had become valid: for that moment a leader that had led before could have counted its successor's leases as ended. It is stored before the write now. The age of the leader's renewal was rounded up at its sender for the new check of acknowledgements; as the bound of the renewal's time, which other VMs wait out, it must be rounded down there, and is rounded up by its receiver.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -299,12 +299,13 @@
 	if old.Leader != "" && !isOwn {
 		renewedAt = elector.observedAt
 	}
+	// It is stored before the lease can be valid, since it tells which leases still run.
+	elector.mu.Lock()
+	elector.predecessorRenewedAt = renewedAt
+	elector.mu.Unlock()
 	triedRevision := elector.observed.Revision
 	next := record{Leader: elector.VM, Run: elector.Process, Token: old.Token + 1}
 	if elector.writeRecord(ctx, next) {
-		elector.mu.Lock()
-		elector.predecessorRenewedAt = renewedAt
-		elector.mu.Unlock()
 		elector.Log.Write(event.LeadershipTaken, event.Fields{"token": next.Token})
 		return renewInterval
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -403,7 +403,7 @@
 		group.AcceptLease(dbset.Lease{
 			Token: reply.Token, Term: groupState.Term, Primary: groupState.Primary, Start: groupState.Start,
 			Position: groupState.Position, Age: time.Duration(groupState.AgeMS) * time.Millisecond,
-			LeaderAge: time.Duration(reply.StoreState.LeaderAgeMS) * time.Millisecond,
+			LeaderAge: time.Duration(reply.StoreState.LeaderAgeMS+1) * time.Millisecond, // it is rounded down
 		}, requestedAt)
 	}
 }
--- a/vmrun/feed.go
+++ b/vmrun/feed.go
@@ -190,7 +190,7 @@
 	revision, age := vm.elector.OwnHeartbeat()
 	return lease.StoreState{
 		Feeds:          []lease.Feed{vm.configFeed.status(now), vm.memberFeed.status(now)},
-		LeaderRevision: revision, LeaderAgeMS: age.Milliseconds() + 1,
+		LeaderRevision: revision, LeaderAgeMS: age.Milliseconds(),
 	}
 }
 
