--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -350,3 +350,47 @@
 		}
 	})
 }
+
+// hookedTree calls onSwap after each write that succeeded, before its answer arrives.
+type hookedTree struct {
+	store.Tree
+	onSwap func()
+}
+
+func (tree hookedTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+	item, err := tree.Tree.Swap(ctx, key, value, revision)
+	if err == nil {
+		tree.onSwap()
+	}
+	return item, err
+}
+
+// Rule 9: the bound for the previous leader's last renewal is known before the lease is valid.
+// A bound of an earlier time as the leader would make leases count as ended that still run.
+func TestPredecessorIsKnownFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tree := &fakekv.Tree{}
+		ctx, kill := context.WithCancel(context.Background())
+		first := newElector(tree, "vm1", 1)
+		first.Store = killedTree{Tree: tree, killed: ctx}
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			_ = first.Run(ctx)
+		}()
+		time.Sleep(2500 * time.Millisecond)
+		kill()
+		<-stopped
+		killedAt := time.Now()
+
+		second := newElector(tree, "vm2", 2)
+		var known []time.Time
+		second.Store = hookedTree{Tree: tree, onSwap: func() { known = append(known, second.PredecessorRenewedAt()) }}
+		stopSecond := startElector(second)
+		time.Sleep(5 * time.Second)
+		stopSecond()
+		c.Assert(known[0].Before(killedAt.Add(100*time.Millisecond)), qt.IsTrue)
+		c.Assert(known[0].IsZero(), qt.IsFalse)
+	})
+}
