dbset: what a replica has received is not what its reads show

Cause: reports (STATUS) carry the end of the received log, answers to reads the applied position; one field had both.

--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -161,7 +161,7 @@
 // isExpectedToReach reports whether the replica is known to have reached the
 // minimum position, or has probably reached it, judged by its last lag.
 func (member *member) isExpectedToReach(minPosition posn.Position, minPositionAt, now time.Time) bool {
-	if member.position.AtLeast(minPosition) {
+	if member.applied.AtLeast(minPosition) {
 		return true
 	}
 	lag := assumedLag
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -103,10 +103,14 @@
 	Member
 	report     Report
 	reportedAt time.Time
-	// position is the latest position in the database's answers and reports.
-	position posn.Position
-	// lag is the replication lag as last estimated from an answer, lagAt the time of that
-	// estimate or of the last read that was sent to probe the lag, whichever is later.
+	// received is the end of the log that the database is known to have received, applied the
+	// position that its reads are known to show. A replica may apply what it has received
+	// seconds later.
+	received posn.Position
+	applied  posn.Position
+	// lag is the time that the replica's applied position is behind the primary, as last
+	// estimated from an answer; lagAt is the time of that estimate or of the last read that
+	// was sent to probe the lag, whichever is later.
 	lag      time.Duration
 	lagAt    time.Time
 	latency  time.Duration
@@ -218,8 +222,8 @@
 	}
 	member.report, member.reportedAt = report, now
 	member.recordAnswer(now)
-	if posn.Max(member.position, report.Received) == report.Received || report.Term > member.position.Term {
-		member.position = report.Received
+	if report.Received.AtLeast(member.received) || report.Term > member.received.Term {
+		member.received = report.Received
 	}
 	if report.Primary {
 		group.recordPrimaryReport(id, report, requestedAt)
@@ -296,16 +300,28 @@
 func (group *Group) Done(id string, position posn.Position, requestedAt, now time.Time) {
 	group.mu.Lock()
 	defer group.mu.Unlock()
-	member, ok := group.members[id]
-	if !ok {
-		return
+	if member, ok := group.members[id]; ok {
+		const smoothingDivisor = 8 // a new latency counts 1/8 in the moving average
+		member.latency += (now.Sub(requestedAt) - member.latency) / smoothingDivisor
+		group.recordAnswer(member, position, requestedAt, now)
+	}
+}
+
+// Refused records an answer by which the database did not run the request. It takes less
+// time than a run, so it does not count for the latency.
+func (group *Group) Refused(id string, position posn.Position, requestedAt, now time.Time) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if member, ok := group.members[id]; ok {
+		group.recordAnswer(member, position, requestedAt, now)
 	}
+}
+
+func (group *Group) recordAnswer(member *member, position posn.Position, requestedAt, now time.Time) {
 	member.recordAnswer(now)
-	const smoothingDivisor = 8 // a new latency counts 1/8 in the moving average
-	member.latency += (now.Sub(requestedAt) - member.latency) / smoothingDivisor
 	if !position.IsZero() {
-		member.position = posn.Max(member.position, position)
-		if id == group.primary {
+		member.received, member.applied = posn.Max(member.received, position), posn.Max(member.applied, position)
+		if member.ID == group.primary {
 			group.addObservation(position, requestedAt)
 		} else {
 			member.estimateLag(group.observations, now)
--- a/dbset/dbset_test.go
+++ b/dbset/dbset_test.go
@@ -271,3 +271,35 @@
 		c.Assert(choice.Member.ID, qt.Equals, id, qt.Commentf("%s", team))
 	}
 }
+
+// Load: both replicas of a group are seconds behind, while reports on what they have received
+// arrive all the time, as inquiries for replica acknowledgements cause them. Rule 4: what a
+// replica has received its reads may not show yet, so a report is no reason to send it a read.
+func TestReceivedIsNotApplied(t *testing.T) {
+	c := qt.New(t)
+	group := newLeasedGroup()
+	for ms := 200; ms <= 3000; ms += 100 {
+		group.AcceptLease(dbset.Lease{Token: 5, Term: 1, Primary: "a", Position: position(1, uint64(ms))}, at(ms))
+		for _, id := range []string{"b", "c"} {
+			group.Refused(id, position(1, 10), at(ms), at(ms+2))
+			group.Report(id, dbset.Report{Term: 1, Received: position(1, uint64(ms))}, at(ms), at(ms+3))
+		}
+	}
+	choice := group.Choose(dbset.Query{MaxStaleness: time.Second, Arrived: at(3010), Now: at(3010)})
+	c.Assert(choice.Member.ID, qt.Equals, "a")
+	c.Assert(choice.Reason, qt.Equals, dbset.ToPrimaryReplicasBehind)
+	c.Assert(group.IsReceived(position(1, 3000)), qt.IsTrue)
+}
+
+// A replica that refuses reads in 2 ms is no faster than one that answers in 20 ms.
+func TestRefusalsDoNotCountForLatency(t *testing.T) {
+	c := qt.New(t)
+	group := newLeasedGroup()
+	for ms := 110; ms < 400; ms += 10 {
+		group.Done("b", position(1, 10), at(ms), at(ms+20))
+		group.Done("c", position(1, 10), at(ms), at(ms+20))
+		group.Refused("c", position(1, 10), at(ms), at(ms+2))
+	}
+	choice := group.Choose(dbset.Query{MaxStaleness: time.Second, Arrived: at(500), Now: at(500)})
+	c.Assert(choice.Member.ID, qt.Equals, "b")
+}
--- a/dbset/observe.go
+++ b/dbset/observe.go
@@ -31,11 +31,11 @@
 }
 
 // estimateLag sets the replica's lag to the time since the first observation of
-// the primary at a position that the replica has not reached; zero without one.
+// the primary at a position that the replica has not applied; zero without one.
 func (member *member) estimateLag(observations []observation, now time.Time) {
 	member.lag, member.lagAt = 0, now
 	for _, observation := range observations {
-		if !member.position.AtLeast(observation.position) {
+		if !member.applied.AtLeast(observation.position) {
 			member.lag = now.Sub(observation.requestedAt)
 			return
 		}
--- a/dbset/received.go
+++ b/dbset/received.go
@@ -24,7 +24,7 @@
 	}
 	for id, member := range group.members {
 		if id != group.primary && !member.Leaving {
-			newest = posn.Max(newest, member.position)
+			newest = posn.Max(newest, member.received)
 		}
 	}
 	return newest
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -174,7 +174,11 @@
 		return answer, err
 	}
 	now := clock.Now()
-	execution.group.Done(id, answer.Position, began, now)
+	if answer.Code.DidNotRun() {
+		execution.group.Refused(id, answer.Position, began, now)
+	} else {
+		execution.group.Done(id, answer.Position, began, now)
+	}
 	switch answer.Code {
 	case proto.OK:
 		conn.Observe(now.Sub(began))
