lease, dbset: VMs that reach a primary prove it to a leader that doesn't

Ruled out: the store (configuration after 20 ms) and the other VMs' polls (they had the primaries' reports 60 ms after their start).

A VM whose lease the leader withholds polls the databases to which it has a connection, and sends the leader what they have reported since it first answered under its token.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -103,6 +103,8 @@
 	Member
 	report     Report
 	reportedAt time.Time
+	// requestedAt is when the report was requested.
+	requestedAt time.Time
 	// received is the end of the log that the database is known to have received, applied the
 	// position that its reads are known to show. A replica may apply what it has received
 	// seconds later.
@@ -220,7 +222,7 @@
 	if !ok {
 		return
 	}
-	member.report, member.reportedAt = report, now
+	member.report, member.reportedAt, member.requestedAt = report, now, requestedAt
 	member.recordAnswer(now)
 	if report.Received.AtLeast(member.received) || report.Term > member.received.Term {
 		member.received = report.Received
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -107,10 +107,12 @@
 // lease has expired or ends within EvidenceDuration/2. Other VMs than the leader poll all
 // databases while no primary is known if they may use evidence, or else if hasConns: then the
 // polls open connections before the lease arrives. Where connections are scarce, the polls of
-// all VMs of a fleet that starts would use them up.
+// all VMs of a fleet that starts would use them up. A VM whose lease the leader withholds polls
+// the databases to which it has a connection, for a proof.
 func (group *Group) PollRates(isLeader, hasConns bool, now time.Time) map[string]PollRate {
 	group.mu.Lock()
 	defer group.mu.Unlock()
+	isWithheld := !isLeader && hasConns && group.isLeaseWithheld(now)
 	isLeaseFresh := group.leasedUntil.After(now.Add(EvidenceDuration / 2))
 	rates := make(map[string]PollRate)
 	var evidenceSource string
@@ -123,6 +125,8 @@
 			rates[id] = FastPoll
 		case isLeader && !isPrimary:
 			rates[id] = SlowPoll
+		case isWithheld && (group.HasIdleConn == nil || group.HasIdleConn(id, "")):
+			rates[id] = FastPoll
 		}
 		if !isPrimary && !member.isAvoided(now) && (evidenceSource == "" || id < evidenceSource) {
 			evidenceSource = id
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -142,6 +142,17 @@
 	// interval is the time from the last request for all leases to the next.
 	interval     time.Duration
 	lastAnswerAt time.Time
+	// token is the highest fencing token of an answer, tokenSince when it first came.
+	token      uint64
+	tokenSince time.Time
+}
+
+// recordAnswer records an answer under a fencing token.
+func (requester *requester) recordAnswer(token uint64, now time.Time) {
+	requester.lastAnswerAt = now
+	if token > requester.token {
+		requester.token, requester.tokenSince = token, now
+	}
 }
 
 // untilFull returns the time until the next request for all leases is due.
@@ -271,6 +282,7 @@
 		agent.requestSome(set, missing)
 	}
 	if len(missing) > 0 {
+		agent.sendProofs(set, missing)
 		wait = min(wait, retryInterval)
 	}
 	return wait
@@ -450,6 +462,8 @@
 		agent.handleRevoke(received)
 	case kindRevokeAck:
 		agent.handleRevokeAck(received)
+	case kindProof:
+		agent.handleProof(received)
 	}
 }
 
@@ -570,7 +584,7 @@
 	if isPending {
 		delete(agent.pending, reply.Seq)
 		requester := agent.requester(pending.set)
-		requester.lastAnswerAt = agent.Clock.Now()
+		requester.recordAnswer(reply.Token, agent.Clock.Now())
 		if reply.Seq <= requester.lastFullSeq {
 			requester.unansweredFull = 0
 		}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -233,6 +233,13 @@
 	node.extraGroups = append(node.extraGroups, group)
 }
 
+// setGroup replaces the group "ledger", as a restart of the VM would.
+func (node *node) setGroup(group *dbset.Group) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.group = group
+}
+
 func (node *node) groups() []*dbset.Group {
 	node.mu.Lock()
 	defer node.mu.Unlock()
--- a/lease/message.go
+++ b/lease/message.go
@@ -17,6 +17,8 @@
 	kindRevokeAck
 	// kindRequestSome requests the leases of the listed groups only.
 	kindRequestSome
+	// kindProof tells the leader the primaries of groups whose leases it withholds.
+	kindProof
 )
 
 // groupState is the part of a message that is about one group. A request for some groups
@@ -24,7 +26,7 @@
 type groupState struct {
 	_     struct{} `cbor:",toarray"`
 	Group string
-	// Term is the term of the lease; zero in a request.
+	// Term is the term of the lease or the proof; zero in a request.
 	Term    uint64
 	Primary string
 	// Start is a position of the term that covers every entry retained from earlier
@@ -49,7 +51,8 @@
 	From string
 	// Seq is the number of a request or a revocation; the answer repeats it.
 	Seq uint64
-	// Token is the leader's fencing token; zero in a request.
+	// Token is the leader's fencing token, in a proof that of the leader to whom it is sent;
+	// zero in a request.
 	Token uint64
 	// StoreState is set in the answer to a request only.
 	StoreState StoreState
