leader, store: an unanswered renewal is tried again after 300 ms

The same write is now tried again every 300 ms, three times at most, and a conflict with the value itself is a success. Ruled out: a shorter timeout, since under a slow store (87 times 4 ms) no try would ever be answered.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -510,7 +510,8 @@
 }
 
 // writeRecord replaces the record by compare-and-swap. The lease's validity counts from
-// before the request is sent, since the store may apply it at any time after that.
+// before the first try is sent, since the store may apply it at any time after that. The
+// number of the write makes the value unique.
 func (elector *Elector) writeRecord(ctx context.Context, next record) bool {
 	elector.writes++
 	next.Beat = elector.writes
@@ -519,7 +520,7 @@
 		return false
 	}
 	sentAt := elector.Clock.Now()
-	item, err := elector.Store.Swap(ctx, keyOf(elector.Set), value, elector.observed.Revision)
+	item, err := store.SwapWithRetry(ctx, elector.Store, elector.Clock, keyOf(elector.Set), value, elector.observed.Revision)
 	switch {
 	case err == nil:
 		elector.observe(item)
--- a/store/retry_test.go
+++ b/store/retry_test.go
@@ -79,3 +79,78 @@
 		c.Assert(tree.calls, qt.Equals, 1)
 	})
 }
+
+// losingTree is a store that loses the answers to the first swaps: these time out after the
+// write has been made, or where isUnmade is set, without it.
+type losingTree struct {
+	store.Tree
+	losses   int
+	isUnmade bool
+	calls    int
+}
+
+func (tree *losingTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+	tree.calls++
+	if tree.calls > tree.losses {
+		return tree.Tree.Swap(ctx, key, value, revision)
+	}
+	if !tree.isUnmade {
+		if _, err := tree.Tree.Swap(ctx, key, value, revision); err != nil {
+			return store.Item{}, err
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(1500 * time.Millisecond):
+	}
+	return store.Item{}, store.ErrUncertain
+}
+
+// Load: the store loses answers. A write is confirmed by the next try, whether or not the
+// first one was made, and not when another writer came first.
+func TestSwapWithRetry(t *testing.T) {
+	for name, test := range map[string]struct {
+		losses   int
+		isUnmade bool
+		within   time.Duration
+	}{
+		"answered":               {0, false, 0},
+		"answer lost":            {1, false, 300 * time.Millisecond},
+		"call lost":              {1, true, 300 * time.Millisecond},
+		"answer lost, call lost": {2, true, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				tree := &losingTree{Tree: &fakekv.Tree{}, losses: test.losses, isUnmade: test.isUnmade}
+				startedAt := time.Now()
+				item, err := store.SwapWithRetry(t.Context(), tree, clock.System{}, "a/1", []byte("1"), 0)
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(item.Value), qt.Equals, "1")
+				c.Assert(time.Since(startedAt) <= test.within, qt.IsTrue, qt.Commentf("took %s", time.Since(startedAt)))
+				item, err = store.SwapWithRetry(t.Context(), tree, clock.System{}, "a/1", []byte("2"), 0)
+				c.Assert(err, qt.ErrorIs, store.ErrConflict)
+				c.Assert(string(item.Value), qt.Equals, "1")
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// A write fails if the store refuses it, and at the end of the context.
+func TestSwapWithRetryFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tree := &fakekv.Tree{}
+		tree.SetDown(true)
+		_, err := store.SwapWithRetry(t.Context(), tree, clock.System{}, "a/1", []byte("1"), 0)
+		c.Assert(err, qt.IsNotNil)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		startedAt := time.Now()
+		_, err = store.SwapWithRetry(ctx, &losingTree{Tree: tree, losses: 9, isUnmade: true}, clock.System{}, "a/1", []byte("1"), 0)
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(time.Since(startedAt) <= time.Second, qt.IsTrue)
+		time.Sleep(2 * time.Second)
+	})
+}
