admit: short aims before long ones, and what can be on time before what can't

Pattern: both replicas of a group are seconds behind and its primary has 2 slots for 2.1 slots of work. A request now waits behind those of a shorter aim unless it is older by patience times the difference, and one that can't be on time behind those that can.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -60,9 +60,10 @@
 type Request struct {
 	// Priority orders the queue; lower values go first.
 	Priority int
-	// Due is when the caller expects the answer. It only orders requests of the same
-	// priority and team.
+	// Due is when the caller expects the answer, Aim the time from the request's arrival until
+	// then. They only order requests of the same priority and team.
 	Due time.Time
+	Aim time.Duration
 	// MaxWait is the maximum expected wait for the request to be queued. In a standing
 	// queue, the lesser of MaxWait and MaxStandingWait applies.
 	MaxWait         time.Duration
--- a/admit/share.go
+++ b/admit/share.go
@@ -18,6 +18,8 @@
 	// maxReleases is the number of releases at which the history for a team's cost is
 	// halved.
 	maxReleases = 32
+	// patience is the weight of a request's aim, relative to its age, in the order of the queue.
+	patience = 4
 )
 
 // queued is a request in the queue.
@@ -29,12 +31,23 @@
 }
 
 func (item queued[T]) isBefore(other queued[T]) bool {
-	if !item.request.Due.Equal(other.request.Due) {
-		return item.request.Due.Before(other.request.Due)
+	if rank, otherRank := item.request.rank(), other.request.rank(); !rank.Equal(otherRank) {
+		return rank.Before(otherRank)
 	}
 	return item.number < other.number
 }
 
+// rank orders the requests of a team: a request goes before a later one unless its Aim is
+// longer by more than its lead divided by patience. Work with a long aim is long, as a rule,
+// and with the short work first, the most callers are served in time.
+func (request Request) rank() time.Time { return request.Due.Add((patience - 1) * request.Aim) }
+
+// isLate reports whether a request can't be answered by its due time any more if it is sent
+// now and takes as long as an answer usually does.
+func (request Request) isLate(latency time.Duration, now time.Time) bool {
+	return now.Add(latency).After(request.Due)
+}
+
 // class is the part of the queue that has one priority. It serves the teams by start-time
 // fair queueing (Goyal, Vin and Cheng, 1996): the next request is that of the team with
 // the least service, where a team that was idle starts at the virtual time.
@@ -49,7 +62,7 @@
 // share is a team's part of a class.
 type share[T comparable] struct {
 	team string
-	// waiting has the team's requests by due time, then by arrival.
+	// waiting has the team's requests by rank, then by arrival.
 	waiting []queued[T]
 	// held is the number of the team's requests that were admitted and have not ended;
 	// idle transactions are among them.
@@ -97,6 +110,17 @@
 	return share
 }
 
+// nextIndex returns the index of the request that goes first: of those that can still be on
+// time, or else of all, the first one by rank.
+func (share *share[T]) nextIndex(latency time.Duration, now time.Time) int {
+	return max(0, slices.IndexFunc(share.waiting, func(item queued[T]) bool { return !item.request.isLate(latency, now) }))
+}
+
+// next returns the request that goes first.
+func (share *share[T]) next(latency time.Duration, now time.Time) queued[T] {
+	return share.waiting[share.nextIndex(latency, now)]
+}
+
 func (share *share[T]) isIdle() bool { return len(share.waiting) == 0 && share.held == 0 }
 
 // isExpired reports whether the team has been idle for forgetAfter.
@@ -173,7 +197,7 @@
 		}
 		share.settle(class, now)
 		start := share.start(latency)
-		if first == nil || start < firstStart || start == firstStart && share.waiting[0].isBefore(first.waiting[0]) {
+		if first == nil || start < firstStart || start == firstStart && share.next(latency, now).isBefore(first.next(latency, now)) {
 			first, firstStart = share, start
 		}
 	}
@@ -220,8 +244,9 @@
 func (limiter *Limiter[T]) take(class *class[T], share *share[T]) T {
 	next := class.first(limiter.smoothedLatency, limiter.now)
 	class.virtual = max(class.virtual, next.start(limiter.smoothedLatency))
-	value := share.waiting[0].value
-	share.waiting = slices.Delete(share.waiting, 0, 1)
+	index := share.nextIndex(limiter.smoothedLatency, limiter.now)
+	value := share.waiting[index].value
+	share.waiting = slices.Delete(share.waiting, index, index+1)
 	limiter.waiting--
 	share.hold(class, limiter.now)
 	return value
--- a/admit/team.go
+++ b/admit/team.go
@@ -16,7 +16,7 @@
 		var none T
 		return none, false
 	}
-	return share.waiting[0].value, true
+	return share.next(limiter.smoothedLatency, limiter.now).value, true
 }
 
 // NextFor removes the first request of the team if it has the same priority as the one that
@@ -29,7 +29,11 @@
 		return none, false
 	}
 	own := class.find(team)
-	if own == nil || len(own.waiting) == 0 || own.waiting[0].request.Due.Sub(first.waiting[0].request.Due) > teamPreference {
+	if own == nil || len(own.waiting) == 0 {
+		return none, false
+	}
+	latency, now := limiter.smoothedLatency, limiter.now
+	if own.next(latency, now).request.Due.Sub(first.next(latency, now).request.Due) > teamPreference {
 		return none, false
 	}
 	return limiter.take(class, own), true
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -60,7 +60,7 @@
 
 func (execution *execution) admissionRequest() admit.Request {
 	return admit.Request{
-		Priority: execution.route.Priority, Due: execution.arrived.Add(execution.route.Target),
+		Priority: execution.route.Priority, Due: execution.arrived.Add(execution.route.Target), Aim: execution.route.Target,
 		MaxWait: execution.dispatchRemaining(), MaxStandingWait: execution.route.Target / 2,
 		Team: execution.session.team,
 	}
