engine, platform: one round trip prepares a connection and starts its transaction

Cause: sessions with values and prepared statements of their own share few connections. They are sent together now. A statement itself waits for their answers: it must not run where a value could not be set. BEGIN doesn't, since the transaction ends with its connection then. Its answer no longer counts for the database's latency, as it takes no slot.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -309,9 +309,9 @@
 	}
 }
 
-// Refused records an answer by which the database did not run the request. It takes less
-// time than a run, so it does not count for the latency.
-func (group *Group) Refused(id string, position posn.Position, requestedAt, now time.Time) {
+// Answered records an answer to a request that the database did not run, or that takes no
+// slot. That is faster than a run, so it does not count for the latency.
+func (group *Group) Answered(id string, position posn.Position, requestedAt, now time.Time) {
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	if member, ok := group.members[id]; ok {
--- a/dbset/dbset_test.go
+++ b/dbset/dbset_test.go
@@ -281,7 +281,7 @@
 	for ms := 200; ms <= 3000; ms += 100 {
 		group.AcceptLease(dbset.Lease{Token: 5, Term: 1, Primary: "a", Position: position(1, uint64(ms))}, at(ms))
 		for _, id := range []string{"b", "c"} {
-			group.Refused(id, position(1, 10), at(ms), at(ms+2))
+			group.Answered(id, position(1, 10), at(ms), at(ms+2))
 			group.Report(id, dbset.Report{Term: 1, Received: position(1, uint64(ms))}, at(ms), at(ms+3))
 		}
 	}
@@ -298,7 +298,7 @@
 	for ms := 110; ms < 400; ms += 10 {
 		group.Done("b", position(1, 10), at(ms), at(ms+20))
 		group.Done("c", position(1, 10), at(ms), at(ms+20))
-		group.Refused("c", position(1, 10), at(ms), at(ms+2))
+		group.Answered("c", position(1, 10), at(ms), at(ms+2))
 	}
 	choice := group.Choose(dbset.Query{MaxStaleness: time.Second, Arrived: at(500), Now: at(500)})
 	c.Assert(choice.Member.ID, qt.Equals, "b")
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -138,6 +138,20 @@
 // acquireConn returns a connection to the database on which the session's values and
 // the call's prepared statement are set.
 func (execution *execution) acquireConn(member dbset.Member) (*dbpool.Conn, error) {
+	conn, err := execution.takeConn(member)
+	if err != nil {
+		return nil, err
+	}
+	if err := execution.session.restore(conn, execution.call, false); err != nil {
+		execution.group.Failed(member.ID, false, execution.session.engine.now())
+		conn.Discard()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// takeConn returns a connection to the database as its last user left it.
+func (execution *execution) takeConn(member dbset.Member) (*dbpool.Conn, error) {
 	pool := execution.session.engine.Pools.Pool(member.ID)
 	if pool == nil {
 		return nil, dbpool.ErrClosed
@@ -153,11 +167,6 @@
 		return nil, err
 	}
 	execution.session.use = conn.Use()
-	if err := execution.session.restore(conn, execution.call, false); err != nil {
-		execution.group.Failed(member.ID, false, execution.session.engine.now())
-		conn.Discard()
-		return nil, err
-	}
 	return conn, nil
 }
 
@@ -175,7 +184,7 @@
 	}
 	now := clock.Now()
 	if answer.Code.DidNotRun() {
-		execution.group.Refused(id, answer.Position, began, now)
+		execution.group.Answered(id, answer.Position, began, now)
 	} else {
 		execution.group.Done(id, answer.Position, began, now)
 	}
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// restoreTimeout limits each request that prepares a connection for a session.
+	// restoreTimeout limits the requests that prepare a connection for a session.
 	restoreTimeout = 600 * time.Millisecond
 	// maxPreparedPerConn is the number of prepared statements above which a
 	// connection is reset.
@@ -52,38 +52,64 @@
 }
 
 // restore brings the values and the call's prepared statement on a connection in line
-// with the session (rule 14). It resets nothing within a transaction.
+// with the session (rule 14), in one round trip. It resets nothing within a transaction.
 func (session *Session) restore(conn *dbpool.Conn, call proto.Call, inTransaction bool) error {
-	if !inTransaction && session.needsReset(conn) {
-		if err := sendSetup(conn, proto.Reset{}); err != nil {
-			return err
+	requests := session.setup(conn, call, inTransaction)
+	if len(requests) == 0 {
+		return nil
+	}
+	_, err := askAll(conn, requests)
+	return err
+}
+
+// restoreAndStart is restore, followed in the same round trip by the start of a transaction,
+// whose answer it returns. If a value can't be set, the transaction is rolled back with the
+// connection, before a statement has run in it.
+func (session *Session) restoreAndStart(conn *dbpool.Conn, call proto.Call, start proto.Start) (proto.Answer, error) {
+	answers, err := askAll(conn, append(session.setup(conn, call, false), start))
+	if err != nil {
+		return proto.Answer{}, err
+	}
+	return answers[len(answers)-1], nil
+}
+
+// askAll sends requests that prepare a connection. All but a proto.Start have to succeed.
+func askAll(conn *dbpool.Conn, requests []proto.Request) ([]proto.Answer, error) {
+	answers, err := conn.AskAll(requests, restoreTimeout)
+	if err != nil {
+		return nil, err
+	}
+	for i, answer := range answers {
+		if _, isStart := requests[i].(proto.Start); !isStart && answer.Code != proto.OK {
+			return nil, proto.ErrLost
 		}
+	}
+	return answers, nil
+}
+
+// setup returns the requests that restore sends, and records what they set.
+func (session *Session) setup(conn *dbpool.Conn, call proto.Call, inTransaction bool) []proto.Request {
+	var requests []proto.Request
+	if !inTransaction && session.needsReset(conn) {
+		requests = append(requests, proto.Reset{})
 		clear(conn.Values)
 		clear(conn.Prepared)
 	}
 	for name, value := range session.values {
-		if connValue, ok := conn.Values[name]; ok && connValue == value {
-			continue
-		}
-		if err := sendSetup(conn, proto.SetValue{Name: name, Value: value}); err != nil {
-			return err
+		if connValue, ok := conn.Values[name]; !ok || connValue != value {
+			requests = append(requests, proto.SetValue{Name: name, Value: value})
+			conn.Values[name] = value
 		}
-		conn.Values[name] = value
-	}
-	execute, ok := call.Statement.(proto.Execute)
-	if !ok {
-		return nil
 	}
-	definition := session.prepared[execute.Name]
-	name := preparedName(definition)
-	if _, ok := conn.Prepared[name]; ok {
-		return nil
-	}
-	if err := sendSetup(conn, proto.Define{Name: name, Definition: definition}); err != nil {
-		return err
+	if execute, ok := call.Statement.(proto.Execute); ok {
+		definition := session.prepared[execute.Name]
+		name := preparedName(definition)
+		if _, ok := conn.Prepared[name]; !ok {
+			requests = append(requests, proto.Define{Name: name, Definition: definition})
+			conn.Prepared[name] = definition
+		}
 	}
-	conn.Prepared[name] = definition
-	return nil
+	return requests
 }
 
 func (session *Session) needsReset(conn *dbpool.Conn) bool {
@@ -97,14 +123,3 @@
 	}
 	return false
 }
-
-func sendSetup(conn *dbpool.Conn, request proto.Request) error {
-	answer, err := conn.Ask(request, restoreTimeout)
-	if err != nil {
-		return err
-	}
-	if answer.Code != proto.OK {
-		return proto.ErrLost
-	}
-	return nil
-}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -192,7 +192,7 @@
 // was not opened.
 func (session *Session) openTransaction(execution *execution, choice dbset.Choice) string {
 	transaction := session.transaction
-	conn, err := execution.acquireConn(choice.Member)
+	conn, err := execution.takeConn(choice.Member)
 	if err != nil {
 		return acquireErrorReason(err)
 	}
@@ -202,7 +202,7 @@
 		conn.Put()
 		return "noLongerLeads"
 	}
-	answer, err := execution.send(conn, proto.Start{ID: transaction.id, ReadOnly: transaction.readOnly, MinPosition: choice.MinPosition}, restoreTimeout)
+	answer, err := execution.start(conn, proto.Start{ID: transaction.id, ReadOnly: transaction.readOnly, MinPosition: choice.MinPosition})
 	switch {
 	case err != nil:
 		conn.Discard()
@@ -219,6 +219,26 @@
 	return ""
 }
 
+// start prepares a connection and starts the transaction on it, and records the outcome with
+// the group.
+func (execution *execution) start(conn *dbpool.Conn, start proto.Start) (proto.Answer, error) {
+	clock, id := execution.session.engine.Clock, conn.Member.ID
+	execution.group.Begin(id)
+	defer execution.group.End(id)
+	began := clock.Now()
+	answer, err := execution.session.restoreAndStart(conn, execution.call, start)
+	now := clock.Now()
+	if err != nil {
+		execution.group.Failed(id, false, now)
+		return answer, err
+	}
+	execution.group.Answered(id, answer.Position, began, now)
+	if answer.Code == proto.Busy {
+		conn.Overload()
+	}
+	return answer, nil
+}
+
 // commit commits the open transaction. If the answer is lost, the commit is in doubt if
 // the transaction may have written, and otherwise answered as Aborted. A successful
 // commit with writes is confirmed first (rule 7). Codes by which the commit did not run
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -378,6 +378,19 @@
 	return answer, nil
 }
 
+// AskAll runs requests one after the other.
+func (conn *conn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
+	answers := make([]proto.Answer, 0, len(requests))
+	for _, request := range requests {
+		answer, err := conn.Ask(request, timeout)
+		if err != nil {
+			return nil, err
+		}
+		answers = append(answers, answer)
+	}
+	return answers, nil
+}
+
 // isStatement reports whether a request forwards a caller's statement.
 func isStatement(request proto.Request) bool {
 	switch request.(type) {
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -204,6 +204,10 @@
 	// Ask sends a request and returns its answer. An error means that the
 	// outcome is unknown and that the connection can't be used any more.
 	Ask(request Request, timeout time.Duration) (Answer, error)
+	// AskAll sends requests together, which takes one round trip, and returns their answers
+	// in order. The database runs each of them whatever the answers to those before are. An
+	// error is as for Ask.
+	AskAll(requests []Request, timeout time.Duration) ([]Answer, error)
 	// IsAlive reports whether the idle connection appears to be open.
 	IsAlive() bool
 	Close()
