dbset, lease, vmrun: evidence lasts 350 ms, and VMs state that in their records

Pattern: a fleet in which one VM is gone. Two polls (150 ms) fit into 350 ms. A leader waits for the longest duration that the records of the VMs state, 600 ms for those of an earlier version, so both may run together.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -38,7 +38,10 @@
 	IssueWindow = 1500 * time.Millisecond
 	// EvidenceDuration is how long a replica's report stands in for a lease,
 	// counted from the request for the report.
-	EvidenceDuration = 600 * time.Millisecond
+	EvidenceDuration = 350 * time.Millisecond
+	// FormerEvidenceDuration is the EvidenceDuration of VMs that don't state theirs in their
+	// record in the store.
+	FormerEvidenceDuration = 600 * time.Millisecond
 	// evidenceSuspension is how long after a revocation replicas' reports don't
 	// stand in for a lease. The order to promote has finished by then.
 	evidenceSuspension = 4 * time.Second
--- a/dbset/dbset_test.go
+++ b/dbset/dbset_test.go
@@ -95,8 +95,9 @@
 			group.AllowEvidence(test.isKnown)
 			group.Report("a", dbset.Report{Primary: true, Term: 1}, at(0), at(1))
 			group.Report("b", test.report, at(10), at(15))
-			c.Assert(primaryID(group, 609), qt.Equals, test.want)
-			c.Assert(primaryID(group, 610), qt.Equals, "")
+			end := 10 + int(dbset.EvidenceDuration.Milliseconds())
+			c.Assert(primaryID(group, end-1), qt.Equals, test.want)
+			c.Assert(primaryID(group, end), qt.Equals, "")
 		})
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -100,6 +100,9 @@
 	Group  func(name string) *dbset.Group
 	Needed func() []*dbset.Group
 	Peers  func() []string
+	// Evidence returns how long any of the peers uses a replica's report in place of a lease;
+	// nil stands for dbset.EvidenceDuration.
+	Evidence func() time.Duration
 	// NeedsFirstSet reports whether this VM has to know the leader of the first set, also
 	// without a group of it; nil means that it has not.
 	NeedsFirstSet func() bool
--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -80,7 +80,7 @@
 // knows of it, may use evidence. VMs that don't need the group are among these: one may
 // begin to need it at any time, and acknowledging makes it ignore the evidence of replicas
 // that the leader could not seal. Revoke returns false once the leases of the VMs that
-// have not acknowledged have expired, but not before dbset.EvidenceDuration, for which the
+// have not acknowledged have expired, but not before EvidenceDuration, for which the
 // caller has to wait then anyway. It also returns false if ctx ends before that, or if this
 // VM is not the leader.
 func (agent *Agent) Revoke(ctx context.Context, group string) bool {
@@ -106,7 +106,7 @@
 		if len(unacked) == 0 {
 			return true
 		}
-		now, deadline := agent.Clock.Now(), began.Add(dbset.EvidenceDuration)
+		now, deadline := agent.Clock.Now(), began.Add(agent.EvidenceDuration())
 		if last := unacked[0].expiresAt; last.After(deadline) {
 			deadline = last
 		}
@@ -134,6 +134,14 @@
 	}
 }
 
+// EvidenceDuration returns how long any VM uses a replica's report in place of a lease.
+func (agent *Agent) EvidenceDuration() time.Duration {
+	if agent.Evidence == nil {
+		return dbset.EvidenceDuration
+	}
+	return agent.Evidence()
+}
+
 // next returns the attempts after one more at the time now.
 func (vmAttempts attempts) next(mayHaveLease bool, now time.Time) attempts {
 	backoff := min(2*vmAttempts.backoff, maxRevokeBackoff)
--- a/lease/revoke_test.go
+++ b/lease/revoke_test.go
@@ -201,3 +201,18 @@
 		node.group.Report("b", dbset.Report{Term: 1}, now, now)
 	}
 }
+
+// Load: a fleet in which one VM is gone, while it is listed. Rule 9: a revocation waits for the
+// evidence that it may use, and no longer.
+func TestRevocationWithVMGone(t *testing.T) {
+	for _, evidence := range []time.Duration{dbset.EvidenceDuration, dbset.FormerEvidenceDuration} {
+		runThreeVMs(t, func(c *qt.C, _ *network, nodes []*node) {
+			nodes[0].agent.Evidence = func() time.Duration { return evidence }
+			nodes[0].setPeers(append(nodes[0].listPeers(), "gone@10.0.0.99"))
+			time.Sleep(dbset.LeaseDuration) // the leases of the leader before
+			began := time.Now()
+			c.Assert(nodes[0].agent.Revoke(context.Background(), "ledger"), qt.IsFalse)
+			c.Assert(time.Since(began), qt.Equals, evidence)
+		})
+	}
+}
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -62,6 +62,8 @@
 	Revoke(ctx context.Context, group string) bool
 	// Resume allows leases to be issued again.
 	Resume(group string)
+	// EvidenceDuration returns how long any VM uses a replica's report in place of a lease.
+	EvidenceDuration() time.Duration
 	// PeerObservations returns the observations of other VMs about the group's primary.
 	PeerObservations(group, primary string) PeerObservations
 }
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -214,7 +214,7 @@
 func (controller *Controller) awaitEvidenceExpiry(ctx context.Context, sealedAt time.Time) {
 	select {
 	case <-ctx.Done():
-	case <-controller.Clock.After(sealedAt.Add(dbset.EvidenceDuration + evidenceMargin).Sub(controller.Clock.Now())):
+	case <-controller.Clock.After(sealedAt.Add(controller.Leases.EvidenceDuration() + evidenceMargin).Sub(controller.Clock.Now())):
 	}
 }
 
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bramleydoor/bramleydoor/config"
+	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/store"
 )
@@ -38,12 +39,22 @@
 type vmRecord struct {
 	Zone    string `json:"zone"`
 	HasLeft bool   `json:"hasLeft,omitempty"`
+	// EvidenceMS is the VM's dbset.EvidenceDuration; absent stands for
+	// dbset.FormerEvidenceDuration.
+	EvidenceMS int64 `json:"evidenceMS,omitempty"`
+}
+
+// newVMRecord returns the record of this VM.
+func (vm *VM) newVMRecord() vmRecord {
+	return vmRecord{Zone: vm.Zone, EvidenceMS: dbset.EvidenceDuration.Milliseconds()}
 }
 
 // observedRecord is the state of a VM's record as this VM last read it.
 type observedRecord struct {
 	revision uint64
 	zone     string
+	// evidence is the VM's dbset.EvidenceDuration.
+	evidence time.Duration
 	// observedAt is when this VM first read the record's revision.
 	observedAt time.Time
 }
@@ -81,6 +92,18 @@
 	vmList.writtenAt = at
 }
 
+// evidenceDuration returns how long any VM in the list uses a replica's report in place of a
+// lease.
+func (vmList *vmList) evidenceDuration() time.Duration {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	longest := dbset.EvidenceDuration
+	for _, record := range vmList.records {
+		longest = max(longest, record.evidence)
+	}
+	return longest
+}
+
 // count returns the number of VMs: a leader's recent count, or else that of the list.
 func (vmList *vmList) count(now time.Time) int {
 	vmList.mu.Lock()
@@ -113,7 +136,10 @@
 		}
 		var record vmRecord
 		hasLeft := json.Unmarshal(item.Value, &record) == nil && record.HasLeft
-		observed.zone = record.Zone
+		observed.zone, observed.evidence = record.Zone, dbset.FormerEvidenceDuration
+		if record.EvidenceMS > 0 {
+			observed.evidence = time.Duration(record.EvidenceMS) * time.Millisecond
+		}
 		if !hasLeft && now.Sub(observed.observedAt) <= vmRecordTTL {
 			next[item.Key] = observed
 		}
@@ -129,7 +155,7 @@
 // syncVMList periodically writes the VM's own record and reads those of all VMs, with the
 // keys for messages between them, until ctx ends.
 func (vm *VM) syncVMList(ctx context.Context) error {
-	value, err := json.Marshal(vmRecord{Zone: vm.Zone})
+	value, err := json.Marshal(vm.newVMRecord())
 	if err != nil {
 		return err
 	}
@@ -162,7 +188,9 @@
 // markLeft marks the VM's record as left, so that other VMs stop counting it at
 // once.
 func (vm *VM) markLeft(revision uint64) error {
-	value, err := json.Marshal(vmRecord{Zone: vm.Zone, HasLeft: true})
+	record := vm.newVMRecord()
+	record.HasLeft = true
+	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
