--- a/quota/agent.go
+++ b/quota/agent.go
@@ -1,11 +1,8 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"time"
-
-	"github.com/bramleydoor/bramleydoor/owner"
 )
 
 const (
@@ -95,43 +92,6 @@
 	answeredAt     time.Time
 }
 
-// localTeam is a team's state at a VM.
-type localTeam struct {
-	name  string
-	limit Limit
-	// tokens are those of the last answers; the oldest first.
-	tokens  []batch
-	waiters []*Waiter
-	refused int
-	// demand is the moving average of operations per second at demandAt.
-	demand   float64
-	demandAt time.Time
-	// fallback is the fallback rate until fallbackUntil. saved are the operations that it
-	// allows since savedAt.
-	fallback      float64
-	depth         float64
-	fallbackUntil time.Time
-	// sharesFloor is set if what is saved is a part of the floor.
-	sharesFloor bool
-	saved       float64
-	savedAt     time.Time
-	// isClaimed is set if the home assumes that the VM has a fallback rate.
-	isClaimed bool
-	ran       uint64
-	// settledRan is the value of ran in the last answered request.
-	settledRan uint64
-	// floor is the number of operations in a window that the VM may run without a home; -1
-	// if it has to be computed. floorUses are those of the last window.
-	floor     int
-	floorUses []time.Time
-	grantedAt time.Time
-	// Until blockedUntil operations are refused without a call. The next one should be tried
-	// at nextSlot, the ones after it at intervals of slotInterval.
-	blockedUntil time.Time
-	nextSlot     time.Time
-	slotInterval time.Duration
-}
-
 // batch is a number of tokens with the same expiry.
 type batch struct {
 	count     int
@@ -174,18 +134,6 @@
 // Home returns the VM that grants tokens; empty if it is unknown.
 func (agent *Agent) Home() string { return agent.home }
 
-// beginFallback brings the fallback rates into use. The home assumes that this is not before
-// AnswerTimeout after the last request.
-func (agent *Agent) beginFallback(now time.Time) {
-	if !agent.downSince.IsZero() {
-		return
-	}
-	agent.downSince = now
-	if earliest := agent.lastSentAt.Add(AnswerTimeout); earliest.After(now) {
-		agent.downSince = earliest
-	}
-}
-
 // lose brings the fallback rates into use, also for the operations that wait.
 func (agent *Agent) lose(now time.Time) {
 	agent.beginFallback(now)
@@ -197,12 +145,6 @@
 	}
 }
 
-// isAlone reports whether operations are decided without the home: it is unknown, or its
-// last call had no answer.
-func (agent *Agent) isAlone() bool {
-	return !agent.downSince.IsZero() && !agent.isHomeNew && !agent.isFirstCall
-}
-
 // Take takes a token for an operation. If that needs a call to the home, it returns a
 // Waiter.
 func (agent *Agent) Take(name string, limit Limit, now time.Time) (Verdict, *Waiter) {
@@ -254,180 +196,10 @@
 	return verdict
 }
 
-// takeAlone decides without the home: by the fallback rate, or else the floor.
-func (agent *Agent) takeAlone(team *localTeam, now time.Time) Verdict {
-	if !agent.downSince.IsZero() && agent.takeFallback(team, now) {
-		return agent.verdict(team, true, 0, now)
-	}
-	return agent.verdict(team, false, agent.jitter(refusedAfter), now)
-}
-
 func (agent *Agent) jitter(duration time.Duration) time.Duration {
 	return seconds(duration.Seconds() * (0.75 + agent.Random()/2))
 }
 
-// takeFallback takes an operation of the floor or of the fallback rate. Where what is saved is
-// a part of the floor, the floor is used first, and only if no operation ran without the home
-// for a window.
-func (agent *Agent) takeFallback(team *localTeam, now time.Time) bool {
-	if !team.sharesFloor {
-		return agent.takeSaved(team, now) || agent.takeFloor(team, now)
-	}
-	if agent.takeFloor(team, now) {
-		team.saved, team.savedAt = 0, now
-		if agent.downSince.After(now) {
-			team.savedAt = agent.downSince
-		}
-		return true
-	}
-	if agent.hasFloor(team, now) && agent.takeSaved(team, now) {
-		team.floorUses = append(team.floorUses, now)
-		return true
-	}
-	return false
-}
-
-// takeSaved takes an operation of the fallback rate.
-func (agent *Agent) takeSaved(team *localTeam, now time.Time) bool {
-	if team.fallbackUntil.Before(now) {
-		return false
-	}
-	if team.savedAt.Before(agent.downSince) {
-		team.saved, team.savedAt = 0, agent.downSince
-	}
-	if elapsed := now.Sub(team.savedAt); elapsed > 0 {
-		team.saved = min(team.saved+team.fallback*elapsed.Seconds(), team.depth)
-		team.savedAt = now
-	}
-	if team.saved < 1 {
-		return false
-	}
-	team.saved--
-	team.ran++
-	return true
-}
-
-// takeFloor takes an operation of the floor: whole operations in each window, since a
-// process that starts does not know what its predecessor ran in the last window.
-func (agent *Agent) takeFloor(team *localTeam, now time.Time) bool {
-	if !agent.hasFloor(team, now) {
-		return false
-	}
-	for len(team.floorUses) > 0 && now.Sub(team.floorUses[0]) > agent.Bounds.Window {
-		team.floorUses = team.floorUses[1:]
-	}
-	if len(team.floorUses) >= team.floor {
-		return false
-	}
-	team.floorUses = append(team.floorUses, now)
-	return true
-}
-
-func (agent *Agent) hasFloor(team *localTeam, now time.Time) bool {
-	if team.floor < 0 {
-		team.floor = agent.floorOf(team)
-	}
-	return team.floor > 0 && now.Sub(agent.startedAt) >= agent.Bounds.Window
-}
-
-// floorOf returns this VM's part of the floors, in whole operations. The rest of the
-// division goes to VMs that differ by team: equal parts of a small reserve would allow none.
-func (agent *Agent) floorOf(team *localTeam) int {
-	rank := slices.Index(owner.Rank(team.name, agent.vms), agent.VM)
-	if rank < 0 {
-		return 0
-	}
-	all, count := agent.Bounds.floors(team.limit, len(agent.vms)), len(agent.vms)
-	if rank < all%count {
-		return all/count + 1
-	}
-	return all / count
-}
-
-// nextRetry returns when a refused operation should be tried again, one after the other.
-func (agent *Agent) nextRetry(team *localTeam, now time.Time) time.Duration {
-	slot := team.nextSlot
-	if slot.Before(now) {
-		slot = now
-	}
-	if latest := now.Add(maxRetryAfter); slot.After(latest) {
-		// Beyond the bound the callers are spread over its second half.
-		return seconds(maxRetryAfter.Seconds() * (0.5 + agent.Random()/2))
-	}
-	team.nextSlot = slot.Add(team.slotInterval)
-	return max(slot.Sub(now), time.Millisecond) + seconds(team.slotInterval.Seconds()*agent.Random())
-}
-
-func (team *localTeam) demandNow(now time.Time) float64 {
-	return team.demand * math.Exp(-now.Sub(team.demandAt).Seconds()/demandWindow.Seconds())
-}
-
-func (team *localTeam) addDemand(now time.Time) {
-	team.demand, team.demandAt = team.demandNow(now)+1/demandWindow.Seconds(), now
-}
-
-// take takes a token that has not expired.
-func (team *localTeam) take(now time.Time) bool {
-	team.dropExpired(now)
-	if len(team.tokens) == 0 {
-		return false
-	}
-	team.tokens[0].count--
-	if team.tokens[0].count == 0 {
-		team.tokens = team.tokens[1:]
-	}
-	return true
-}
-
-func (team *localTeam) dropExpired(now time.Time) {
-	for len(team.tokens) > 0 && !now.Before(team.tokens[0].expiresAt) {
-		team.tokens = team.tokens[1:]
-	}
-}
-
-func (team *localTeam) held(now time.Time) int {
-	team.dropExpired(now)
-	held := 0
-	for _, batch := range team.tokens {
-		held += batch.count
-	}
-	return held
-}
-
-// needsCall reports whether a call is due for the team: operations wait, tokens run low, or
-// the fallback rate has to be given up or settled.
-func (agent *Agent) needsCall(team *localTeam, now time.Time) bool {
-	if len(team.waiters) > 0 || agent.isIdle(team, now) {
-		return true
-	}
-	demand := team.demandNow(now)
-	// Below two tokens, requesting in advance would waste about as much as is used.
-	if demand*expectedFor.Seconds() < 2 || now.Before(team.blockedUntil) {
-		return false
-	}
-	return float64(team.held(now)) < demand*refillBelow.Seconds()
-}
-
-// isIdle reports whether the team has no demand but a fallback rate, or operations at such a
-// rate that the home does not know.
-func (agent *Agent) isIdle(team *localTeam, now time.Time) bool {
-	return team.isOwed(now) && now.Sub(agent.quietSince(team)) >= idleAfter
-}
-
-// quietSince returns the time of the team's last demand. If its fallback rate is low, that is
-// the time of the VM's last request if that one was for other teams.
-func (agent *Agent) quietSince(team *localTeam) time.Time {
-	if team.fallback < keptFallback && agent.lastSentAt.Sub(team.demandAt) > MaxWait {
-		return agent.lastSentAt
-	}
-	return team.demandAt
-}
-
-// isOwed reports whether the home counts, or has to count, operations at a fallback rate.
-func (team *localTeam) isOwed(now time.Time) bool {
-	return team.isClaimed && now.Before(team.fallbackUntil) || team.ran > team.settledRan
-}
-
 func (agent *Agent) callInterval() time.Duration {
 	if agent.isAlone() {
 		return retryCallInterval
