--- a/store/retry_test.go
+++ b/store/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,14 +85,13 @@
 // write has been made, or where isUnmade is set, without it.
 type losingTree struct {
 	store.Tree
-	losses   int
+	losses   int32
 	isUnmade bool
-	calls    int
+	calls    atomic.Int32
 }
 
 func (tree *losingTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
-	tree.calls++
-	if tree.calls > tree.losses {
+	if tree.calls.Add(1) > tree.losses {
 		return tree.Tree.Swap(ctx, key, value, revision)
 	}
 	if !tree.isUnmade {
@@ -110,7 +110,7 @@
 // first one was made, and not when another writer came first.
 func TestSwapWithRetry(t *testing.T) {
 	for name, test := range map[string]struct {
-		losses   int
+		losses   int32
 		isUnmade bool
 		within   time.Duration
 	}{
