--- a/lease/proof_test.go
+++ b/lease/proof_test.go
@@ -67,7 +67,7 @@
 
 // Rule 9: a proof that arrives while a promotion is in progress, or after it, changes nothing.
 func TestLateProof(t *testing.T) {
-	runThreeVMs(t, func(c *qt.C, network *network, nodes []*node) {
+	runThreeVMs(t, func(c *qt.C, _ *network, nodes []*node) {
 		nodes[1].reportGroup(1, 0)
 		c.Assert(nodes[0].agent.Revoke(context.Background(), "ledger"), qt.IsTrue)
 		time.Sleep(time.Second)
