vmrun: a VM of a fleet that starts needs no group until its list of VMs has settled

Cause: all VMs read the list of VMs at their start, before the others have written their lines, or as a stale copy, and again only after 4 s. Until then each took the fleet for a small one, in which every VM needs all groups: it asked all leaders for all leases and read the prefixes of the store anew after each change.

A list counts as settled once it has the VM's own line and was read 1 s after that was written, or at once if an earlier process of the VM had written it. It is read again after 1, 2 and 4 s until then. Before, a VM needs only groups that it has served requests for.

Ruled out: handshakes and connections between VMs (1 to 5 a second for each VM), polls before there is a lease (5 to 6 a second for each VM), timers in step.

--- a/vmrun/fleet_test.go
+++ b/vmrun/fleet_test.go
@@ -48,8 +48,9 @@
 	blocked map[string]bool
 	// peers has the listeners for forwarded requests, by IP address.
 	peers map[string]*netsim.PipeListener
-	// sent counts the datagrams from an IP address. The next losses to one are lost.
-	sent, losses map[string]int
+	// sent counts the datagrams from an IP address, traffic the bytes in datagrams from and to
+	// it, connected the connections to it. The next losses to one are lost.
+	sent, traffic, connected, losses map[string]int
 }
 
 // listen returns the listener for forwarded requests of an IP address.
@@ -68,6 +69,7 @@
 		_, ip, _ := strings.Cut(vm, "@")
 		network.mu.Lock()
 		listener, isBlocked := network.peers[ip], network.blocked[ip] || network.blocked[from]
+		network.connected[ip]++
 		network.mu.Unlock()
 		if listener == nil || isBlocked {
 			return nil, syscall.ECONNREFUSED
@@ -114,6 +116,8 @@
 	ip := to.(*net.UDPAddr).IP.String()
 	own := socket.address.IP.String()
 	socket.network.sent[own]++
+	socket.network.traffic[own] += len(data)
+	socket.network.traffic[ip] += len(data)
 	if ip != own && (socket.network.blocked[ip] || socket.network.blocked[own]) {
 		return len(data), nil
 	}
@@ -222,6 +226,33 @@
 	vms      []*testVM
 	// teams is the number of teams in the configuration.
 	teams int
+	// others has the groups with databases besides upstream, by name.
+	others map[string]*fakeup.Upstream
+}
+
+// addUpstream adds the databases of another group of the configuration.
+func (fleet *fleet) addUpstream(name string) {
+	added := fakeup.New(name)
+	fleet.others[name] = added
+	for _, member := range added.Members() {
+		member.ID = name + "-" + member.ID
+		fleet.register(member)
+	}
+}
+
+// groupDialer connects a VM to the databases of all groups.
+type groupDialer struct {
+	fleet *fleet
+	vm    string
+}
+
+func (dialer groupDialer) Dial(member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	upstream, ok := dialer.fleet.others[member.Group]
+	if !ok {
+		upstream = dialer.fleet.upstream
+	}
+	member.ID = strings.TrimPrefix(member.ID, member.Group+"-")
+	return upstream.DialerFrom(dialer.vm).Dial(member, team, timeout)
 }
 
 type testVM struct {
@@ -236,19 +267,25 @@
 func newFleet(count int) *fleet { return newFleetWithTeams(count, 0) }
 
 func newFleetWithTeams(count, teams int) *fleet {
+	fleet := startFleet(count, teams, 1)
+	time.Sleep(5 * time.Second)
+	return fleet
+}
+
+// startFleet starts VMs at the same time, with a version of the configuration.
+func startFleet(count, teams int, version uint64) *fleet {
 	fleet := &fleet{
-		teams: teams, tree: &fakekv.Tree{}, upstream: fakeup.New("ledger"),
+		teams: teams, tree: &fakekv.Tree{}, upstream: fakeup.New("ledger"), others: make(map[string]*fakeup.Upstream),
 		network: &network{
 			queues: make(map[string]chan packet), blocked: make(map[string]bool), peers: make(map[string]*netsim.PipeListener),
-			sent: make(map[string]int), losses: make(map[string]int),
+			sent: make(map[string]int), traffic: make(map[string]int), connected: make(map[string]int), losses: make(map[string]int),
 		},
 	}
-	fleet.configure(1)
+	fleet.configure(version)
 	fleet.registerAll()
 	for range count {
 		fleet.start()
 	}
-	time.Sleep(5 * time.Second)
 	return fleet
 }
 
@@ -324,7 +361,7 @@
 
 func (fleet *fleet) start() *testVM {
 	number := len(fleet.vms) + 1
-	ip := fmt.Sprintf("10.0.0.%d", number)
+	ip := fmt.Sprintf("10.0.%d.%d", number>>8, number&0xff)
 	name := fmt.Sprintf("vm%d", number)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -338,7 +375,7 @@
 	}
 	started.vm = &vmrun.VM{
 		Adapter: vmrun.Adapter{
-			Store: started.store, Dialer: fleet.upstream.DialerFrom(name), Promoter: fleet.upstream,
+			Store: started.store, Dialer: groupDialer{fleet: fleet, vm: name}, Promoter: fleet.upstream,
 			ConfigKey: configKey, MemberPrefix: memberPrefix,
 			DecodeConfig: fleet.decodeConfig, DecodeMember: decodeMember, ReadStartup: readStartup,
 		},
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -42,6 +42,10 @@
 	// often a VM writes its own record.
 	vmListInterval   = 4 * time.Second
 	vmRecordInterval = 15 * time.Second
+	// settleDelay is the time within which the VMs of a fleet that starts write their first
+	// records. Until the list of VMs is settled it is read again after this time, then after
+	// twice the time, up to vmListInterval.
+	settleDelay = 1 * time.Second
 	// evidenceAllowedFor is how long after its last record was written a VM may use
 	// evidence, that is replicas' reports in place of a lease. vmRecordTTL is how long
 	// leaders regard a VM as live whose record doesn't change; it is longer, so that a
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -129,7 +129,7 @@
 // hasConnsForPolls reports whether the VM may poll databases without a lease: the fleet is
 // known, and its connections to the group's databases are not scarce.
 func (vm *VM) hasConnsForPolls(group string) bool {
-	return vm.vmList.count(vm.Clock.Now()) > 0 && !vm.isScarce(group)
+	return vm.vmList.settled() && vm.vmList.count(vm.Clock.Now()) > 0 && !vm.isScarce(group)
 }
 
 // awaitNeed waits until the VM needs the group or is the leader. It returns false when ctx
--- a/vmrun/idle.go
+++ b/vmrun/idle.go
@@ -18,8 +18,10 @@
 	idleMargin = 100 * time.Millisecond
 )
 
-// isLargeFleet reports whether the fleet has more than idleFleet VMs.
-func (vm *VM) isLargeFleet() bool { return vm.vmList.count(vm.Clock.Now()) > idleFleet }
+// isLargeFleet reports whether the fleet has more than idleFleet VMs, or may have.
+func (vm *VM) isLargeFleet() bool {
+	return !vm.vmList.settled() || vm.vmList.count(vm.Clock.Now()) > idleFleet
+}
 
 // idleInterval returns the interval at which the VM asks the leader for the state of the
 // store while it needs no group. It leaves room for the time between two watches of the
--- a/vmrun/routing.go
+++ b/vmrun/routing.go
@@ -134,7 +134,10 @@
 
 func (vm *VM) isNeeded(entry *groupEntry) bool {
 	name := entry.group.Name
-	return vm.peers == nil || !vm.isScarce(name) || vm.isRouter(name) || vm.isRecentlyUsed(entry)
+	if vm.peers == nil || vm.isRecentlyUsed(entry) {
+		return true
+	}
+	return vm.vmList.settled() && (!vm.isScarce(name) || vm.isRouter(name))
 }
 
 func (vm *VM) isRecentlyUsed(entry *groupEntry) bool {
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -33,6 +33,12 @@
 	// writtenAt is when the VM's own record was last written, firstWrittenAt when it
 	// was first written, or written again after it had expired.
 	writtenAt, firstWrittenAt time.Time
+	// joinedAt is when this process first found the VM's own record in the store, or wrote it;
+	// wasListed is set if an earlier process had written it.
+	joinedAt  time.Time
+	wasListed bool
+	// isSettled is the result of the method settled.
+	isSettled bool
 }
 
 // vmRecord is a VM's record in the store.
@@ -104,6 +110,34 @@
 	return longest
 }
 
+// joined records that the VM's own record is in the store.
+func (vmList *vmList) joined(at time.Time, wasListed bool) {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	if vmList.joinedAt.IsZero() {
+		vmList.joinedAt, vmList.wasListed = at, wasListed
+	}
+}
+
+// settle marks the list as settled if it was read late enough, at readAt, to have the VMs that
+// started together with this one. A list without this VM's own record is a stale copy.
+func (vmList *vmList) settle(self string, readAt time.Time) {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	_, isListed := vmList.records[vmPrefix+self]
+	if isListed && (vmList.wasListed || !vmList.joinedAt.IsZero() && readAt.Sub(vmList.joinedAt) >= settleDelay) {
+		vmList.isSettled = true
+	}
+}
+
+// settled reports whether the list can tell the size of the fleet. Until then, a VM of a fleet
+// that starts would take the fleet for a small one, in which every VM needs all groups.
+func (vmList *vmList) settled() bool {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	return vmList.isSettled
+}
+
 // count returns the number of VMs: a leader's recent count, or else that of the list.
 func (vmList *vmList) count(now time.Time) int {
 	vmList.mu.Lock()
@@ -161,26 +195,34 @@
 	}
 	var own store.Item
 	var nextWrite time.Time
+	interval := settleDelay
 	for {
 		if now := vm.Clock.Now(); !now.Before(nextWrite) {
 			item, err := vm.Store.Swap(ctx, vmPrefix+vm.id(), value, own.Revision)
 			if err == nil || errors.Is(err, store.ErrConflict) {
 				own = item
+				vm.vmList.joined(now, err != nil)
 			}
 			if err == nil {
 				vm.vmList.recordWritten(now)
 				nextWrite = now.Add(vmRecordInterval)
 			}
 		}
+		readAt := vm.Clock.Now()
 		if items, _, err := vm.Store.Range(ctx, ownPrefix, true); err == nil {
 			vm.installPeerKeys(items)
 			vm.vmList.update(items, vm.Clock.Now())
+			vm.vmList.settle(vm.id(), readAt)
 			vm.retainRouters()
 		}
+		wait := vmListInterval
+		if !vm.vmList.settled() {
+			wait, interval = interval, min(2*interval, vmListInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return vm.markLeft(own.Revision)
-		case <-vm.Clock.After(vmListInterval):
+		case <-vm.Clock.After(wait):
 		}
 	}
 }
--- a/vmrun/wakeups_test.go
+++ b/vmrun/wakeups_test.go
@@ -52,6 +52,7 @@
 		items = append(items, store.Item{Key: fmt.Sprintf("%sother%d@10.0.1.%d", vmPrefix, i, i), Value: []byte(`{"zone":"zone-a"}`), Revision: 1})
 	}
 	vm.vmList.update(items, vm.Clock.Now())
+	vm.vmList.isSettled = true
 	upstreams := map[string]config.Upstream{"ledger": {Name: "ledger", MaxConnections: 30}}
 	for i := 0; len(upstreams) < 80; i++ {
 		if name := fmt.Sprintf("group%d", i); !slices.Contains(vm.routersOf(name), vm.id()) {
