vmrun, lease, dbpool: a registration costs its group only, and a VM's tasks wake up together

Cause: in the first three seconds each registration of a database rebuilt the members of all groups, and the pools of all databases, on each VM: 55 to 90 MB of allocations a second for each VM before 912 databases. Then each VM woke up by itself for each of 13 groups it needs, 20 times a second each, for the requests to each of 8 leaders, and looked at the idle connections of all 912 databases five times a second.

Changes of registrations are applied together, to the groups that they concern; those that change nothing are skipped. Periodic tasks of a VM wait for the same moments. Requests to the leaders of other sets are sent up to 100 ms ahead with one that is due. Only pools with idle connections are trimmed.

--- a/dbpool/set.go
+++ b/dbpool/set.go
@@ -31,27 +31,43 @@
 // SetMembers creates and closes pools so that there is one for each member. A member
 // with a new address or start time gets a new pool.
 func (set *Set) SetMembers(members []dbset.Member) {
+	set.SetMembersOf(func(string) bool { return true }, members)
+}
+
+// SetMembersOf is SetMembers for the chosen groups only. members are theirs.
+func (set *Set) SetMembersOf(isChosen func(group string) bool, members []dbset.Member) {
 	set.mu.Lock()
 	defer set.mu.Unlock()
-	old := set.pools
-	set.pools = make(map[string]*Pool, len(members))
+	next := make(map[string]dbset.Member, len(members))
 	for _, member := range members {
-		pool, ok := old[member.ID]
-		if ok && pool.Member.Address == member.Address && pool.Member.Born == member.Born {
-			delete(old, member.ID)
-		} else {
-			pool = &Pool{
-				Member: member, Dialer: set.Dialer, Clock: set.Clock,
-				Share: func() int { return set.Share(member.Group) },
-			}
+		next[member.ID] = member
+	}
+	for id, pool := range set.pools {
+		if member, ok := next[id]; ok && pool.Member.Address == member.Address && pool.Member.Born == member.Born {
+			delete(next, id)
+		} else if ok || isChosen(pool.Member.Group) {
+			pool.Close()
+			delete(set.pools, id)
 		}
-		set.pools[member.ID] = pool
 	}
-	for _, removed := range old {
-		removed.Close()
+	if set.pools == nil {
+		set.pools = make(map[string]*Pool, len(members))
+	}
+	for id, member := range next {
+		set.pools[id] = &Pool{
+			Member: member, Dialer: set.Dialer, Clock: set.Clock,
+			Share: func() int { return set.Share(member.Group) },
+		}
 	}
 }
 
+// Len returns the number of pools.
+func (set *Set) Len() int {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	return len(set.pools)
+}
+
 // Pool returns the pool of a database, or nil if the database is not a member.
 func (set *Set) Pool(id string) *Pool {
 	set.mu.Lock()
@@ -66,14 +82,20 @@
 	now := set.Clock.Now()
 	set.mu.Lock()
 	defer set.mu.Unlock()
-	// Pools may change meanwhile, so each is asked once.
+	// Pools may change meanwhile, so each is asked once. A VM of a large fleet has idle
+	// connections to few databases.
+	var idlePools []*Pool
 	teamPools := make(map[*Pool]bool)
 	for _, pool := range set.pools {
-		if pool.holdsTeams() {
+		hasIdle, hasTeams := pool.idleState()
+		if hasIdle {
+			idlePools = append(idlePools, pool)
+		}
+		if hasTeams {
 			teamPools[pool] = true
 		}
 	}
-	for _, pool := range set.pools {
+	for _, pool := range idlePools {
 		keep, timeout := 1, idleTimeout
 		if set.isScarce(pool) {
 			keep, timeout = 0, scarceIdleTimeout
--- a/dbpool/team.go
+++ b/dbpool/team.go
@@ -129,11 +129,11 @@
 	return max(maxConcurrentDials, pool.Member.Slots/dialsPerSlots)
 }
 
-// holdsTeams reports whether an idle connection belongs to a team.
-func (pool *Pool) holdsTeams() bool {
+// idleState reports whether there is an idle connection, and whether one belongs to a team.
+func (pool *Pool) idleState() (hasIdle, hasTeams bool) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	return slices.ContainsFunc(pool.idle, func(conn *Conn) bool { return conn.Team != "" })
+	return len(pool.idle) > 0, slices.ContainsFunc(pool.idle, func(conn *Conn) bool { return conn.Team != "" })
 }
 
 // hasUsable reports whether there is an idle connection on which the request may run.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,6 +43,8 @@
 	// maxDoublings bounds the exponent of the backoff, which reaches RenewInterval
 	// with fewer doublings.
 	maxDoublings = 4
+	// maxRequestAhead is how long before it is due a request for all leases is sent at most.
+	maxRequestAhead = RenewInterval / 4
 	// In fleets of more than largeFleet VMs the number of requesters is counted once in
 	// recountInterval, rather than for each request.
 	largeFleet      = 60
--- a/lease/request.go
+++ b/lease/request.go
@@ -78,20 +78,33 @@
 		}
 	}
 	agent.Leadership.Watch(slices.Collect(maps.Keys(bySet)))
+	ahead := agent.requestAhead(bySet)
 	wait := interval
 	for set, groups := range bySet {
-		wait = min(wait, agent.requestSet(set, groups, interval))
+		wait = min(wait, agent.requestSet(set, groups, interval, ahead))
 	}
 	return wait
 }
 
-// requestSet sends the request to a set's leader that is due, and returns the time until the
-// next one.
-func (agent *Agent) requestSet(set int, groups []*dbset.Group, interval time.Duration) time.Duration {
+// requestAhead returns how long before it is due a request for all leases may be sent: if one is
+// due, others that are nearly due are sent with it, so that a VM that asks the leaders of many
+// sets wakes up once for all of them.
+func (agent *Agent) requestAhead(bySet map[int][]*dbset.Group) time.Duration {
+	for set := range bySet {
+		if agent.untilFullRequest(set) <= 0 {
+			return maxRequestAhead
+		}
+	}
+	return 0
+}
+
+// requestSet sends the request to a set's leader that is due within ahead, and returns the time
+// until the next one.
+func (agent *Agent) requestSet(set int, groups []*dbset.Group, interval, ahead time.Duration) time.Duration {
 	missing := agent.missingLeases(set, groups)
 	wait := agent.untilFullRequest(set)
 	switch {
-	case wait <= 0:
+	case wait <= ahead:
 		agent.requestAll(set, groups, interval)
 		wait = agent.untilFullRequest(set)
 	case len(missing) > 0:
--- a/vmrun/feed.go
+++ b/vmrun/feed.go
@@ -18,7 +18,7 @@
 	// is older, the VM watches the store itself.
 	maxStaleness time.Duration
 	onSnapshot   func([]store.Item)
-	onChange     func(store.Change)
+	onChanges    func([]store.Change)
 
 	mu sync.Mutex
 	// items is the VM's copy of the prefix. history has the last changes, complete after
@@ -59,8 +59,8 @@
 // applyChanges applies all changes up to the revision covered, complete at the time
 // currentAt.
 func (feed *feed) applyChanges(changes []store.Change, covered uint64, currentAt time.Time) {
-	for _, change := range changes {
-		feed.onChange(change)
+	if len(changes) > 0 {
+		feed.onChanges(changes)
 	}
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
--- a/vmrun/feed_test.go
+++ b/vmrun/feed_test.go
@@ -13,7 +13,7 @@
 
 // newTestFeed returns a feed that records nothing but its own state.
 func newTestFeed() *feed {
-	return &feed{onSnapshot: func([]store.Item) {}, onChange: func(store.Change) {}}
+	return &feed{onSnapshot: func([]store.Item) {}, onChanges: func([]store.Change) {}}
 }
 
 // items returns one item, last changed at a revision.
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -210,7 +210,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-vm.Clock.After(feedCheckInterval):
+		case <-vm.tick(feedCheckInterval):
 		}
 	}
 }
@@ -259,9 +259,11 @@
 				apply(item)
 			}
 		},
-		onChange: func(change store.Change) {
-			if !change.IsRemoved {
-				apply(change.Item)
+		onChanges: func(changes []store.Change) {
+			for _, change := range changes {
+				if !change.IsRemoved {
+					apply(change.Item)
+				}
 			}
 		},
 	}
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -59,6 +59,30 @@
 	vm.isReady = len(all) > 0 && !vm.isStopping
 }
 
+// reconcileMembers is reconcile for changes of the databases of some groups. A fleet that
+// starts gets the registrations of all databases one after the other, so that the cost of each
+// must not depend on their number.
+func (vm *VM) reconcileMembers(changed groupNames) {
+	if len(changed) == 0 {
+		return
+	}
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if vm.config.Load() == nil || vm.isStopped {
+		return
+	}
+	isChanged := func(group string) bool { return changed[group] }
+	members, byGroup := vm.members.collect(isChanged)
+	vm.pools.SetMembersOf(isChanged, members)
+	now := vm.Clock.Now()
+	for name := range changed {
+		if entry, ok := vm.groups[name]; ok {
+			entry.group.SetMembers(byGroup[name], now)
+		}
+	}
+	vm.isReady = vm.pools.Len() > 0 && !vm.isStopping
+}
+
 // addGroups starts the groups of a configuration that is about to be installed. Sessions use
 // it from that moment on, and a request for a group that is missing would be refused.
 func (vm *VM) addGroups(next *config.Config) {
@@ -121,7 +145,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-vm.Clock.After(pollInterval / 3):
+		case <-vm.tick(pollInterval / 3):
 		}
 	}
 }
--- a/vmrun/members.go
+++ b/vmrun/members.go
@@ -50,34 +50,41 @@
 	onSnapshot := func(items []store.Item) {
 		vm.members.mu.Lock()
 		present := make(map[string]bool, len(items))
+		changed := make(groupNames)
 		for _, item := range items {
 			present[item.Key] = true
-			vm.register(item)
+			vm.register(item, changed)
 		}
 		for key := range vm.members.byKey {
 			if !present[key] {
-				vm.members.end(key, vm.Clock.Now())
+				vm.members.end(key, vm.Clock.Now(), changed)
 			}
 		}
 		vm.members.mu.Unlock()
 		vm.reconcile()
 	}
-	onChange := func(change store.Change) {
+	onChanges := func(changes []store.Change) {
 		vm.members.mu.Lock()
-		if change.IsRemoved {
-			vm.members.end(change.Key, vm.Clock.Now())
-		} else {
-			vm.register(change.Item)
+		changed := make(groupNames)
+		for _, change := range changes {
+			if change.IsRemoved {
+				vm.members.end(change.Key, vm.Clock.Now(), changed)
+			} else {
+				vm.register(change.Item, changed)
+			}
 		}
 		vm.members.mu.Unlock()
-		vm.reconcile()
+		vm.reconcileMembers(changed)
 	}
-	return &feed{prefix: vm.MemberPrefix, maxStaleness: maxMemberStaleness, onSnapshot: onSnapshot, onChange: onChange}
+	return &feed{prefix: vm.MemberPrefix, maxStaleness: maxMemberStaleness, onSnapshot: onSnapshot, onChanges: onChanges}
 }
 
-// register stores a registration; members.mu must be held. A registration that can't be
-// decoded is logged and ignored.
-func (vm *VM) register(item store.Item) {
+// groupNames is a set of groups.
+type groupNames map[string]bool
+
+// register stores a registration, and adds the groups whose databases it changes to changed;
+// members.mu must be held. A registration that can't be decoded is logged and ignored.
+func (vm *VM) register(item store.Item, changed groupNames) {
 	member, err := vm.DecodeMember(item.Key, item.Value)
 	if err != nil {
 		vm.Log.Write(event.EntryIgnored, event.Fields{"key": item.Key, "error": err.Error()})
@@ -86,13 +93,21 @@
 	if vm.members.byKey == nil {
 		vm.members.byKey = make(map[string]registration)
 	}
-	vm.members.byKey[item.Key] = registration{member: member}
+	next := registration{member: member}
+	if former, ok := vm.members.byKey[item.Key]; ok {
+		if former == next {
+			return
+		}
+		changed[former.member.Group] = true
+	}
+	changed[member.Group] = true
+	vm.members.byKey[item.Key] = next
 }
 
 // end records that a registration is no longer in the store; members.mu must be held.
 // After an outage of the store the end is deferred, since the database may register
-// again.
-func (members *members) end(key string, now time.Time) {
+// again. The group is added to changed if the database is leaving at once.
+func (members *members) end(key string, now time.Time, changed groupNames) {
 	registration, ok := members.byKey[key]
 	if !ok || !registration.endedAt.IsZero() {
 		return
@@ -102,19 +117,19 @@
 		registration.endedAt = settledAt
 	}
 	members.byKey[key] = registration
-	members.markLeaving(key, now)
+	members.markLeaving(key, now, changed)
 }
 
-// markLeaving marks a database as leaving once its registration has ended, and
-// reports whether that changed it. members.mu must be held.
-func (members *members) markLeaving(key string, now time.Time) bool {
+// markLeaving marks a database as leaving once its registration has ended, and adds its group
+// to changed then. members.mu must be held.
+func (members *members) markLeaving(key string, now time.Time, changed groupNames) {
 	registration := members.byKey[key]
 	if registration.member.Leaving || registration.endedAt.IsZero() || registration.endedAt.After(now) {
-		return false
+		return
 	}
 	registration.member.Leaving = true
 	members.byKey[key] = registration
-	return true
+	changed[registration.member.Group] = true
 }
 
 // sweepMembers periodically removes databases whose registration ended, closes idle
@@ -124,41 +139,46 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-vm.Clock.After(sweepInterval):
+		case <-vm.tick(sweepInterval):
 		}
 		vm.pools.Trim()
 		vm.summarize()
-		if vm.members.sweep(vm.Clock.Now()) {
-			vm.reconcile()
-		}
+		vm.reconcileMembers(vm.members.sweep(vm.Clock.Now()))
 	}
 }
 
 // sweep marks databases as leaving and removes those whose retention has passed. It
-// reports whether anything changed.
-func (members *members) sweep(now time.Time) bool {
+// returns the groups whose databases changed.
+func (members *members) sweep(now time.Time) groupNames {
 	members.mu.Lock()
 	defer members.mu.Unlock()
-	var isChanged bool
+	changed := make(groupNames)
 	for key, registration := range members.byKey {
-		isChanged = members.markLeaving(key, now) || isChanged
+		members.markLeaving(key, now, changed)
 		if !registration.endedAt.IsZero() && now.Sub(registration.endedAt) > endedMemberRetention {
 			delete(members.byKey, key)
-			isChanged = true
+			changed[registration.member.Group] = true
 		}
 	}
-	return isChanged
+	return changed
 }
 
 // all returns all members, and the members by group.
 func (members *members) all() ([]dbset.Member, map[string][]dbset.Member) {
+	return members.collect(func(string) bool { return true })
+}
+
+// collect returns the members of the chosen groups, and these members by group.
+func (members *members) collect(isChosen func(group string) bool) ([]dbset.Member, map[string][]dbset.Member) {
 	members.mu.Lock()
 	defer members.mu.Unlock()
-	all := make([]dbset.Member, 0, len(members.byKey))
+	var chosen []dbset.Member
 	byGroup := make(map[string][]dbset.Member)
 	for _, registration := range members.byKey {
-		all = append(all, registration.member)
-		byGroup[registration.member.Group] = append(byGroup[registration.member.Group], registration.member)
+		if member := registration.member; isChosen(member.Group) {
+			chosen = append(chosen, member)
+			byGroup[member.Group] = append(byGroup[member.Group], member)
+		}
 	}
-	return all, byGroup
+	return chosen, byGroup
 }
--- a/vmrun/routing.go
+++ b/vmrun/routing.go
@@ -122,9 +122,10 @@
 		entries = append(entries, entry)
 	}
 	vm.mu.Unlock()
+	leads := vm.IsLeader()
 	var needed []*dbset.Group
 	for _, entry := range entries {
-		if vm.leadsGroup(entry.group.Name) || vm.isNeeded(entry) {
+		if vm.isNeeded(entry) || leads && vm.leadsGroup(entry.group.Name) {
 			needed = append(needed, entry.group)
 			entry.wake()
 		}
--- /dev/null
+++ b/vmrun/vms_test.go
@@ -0,0 +1,130 @@
+package vmrun
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/store"
+)
+
+func recordsOf(vms ...string) []store.Item {
+	var items []store.Item
+	for _, vm := range vms {
+		items = append(items, store.Item{Key: vmPrefix + vm, Value: []byte(`{"zone":"zone-a"}`), Revision: 1})
+	}
+	return items
+}
+
+// A list is settled once it has the VM's own record, and was read when the VMs that started
+// together had written theirs. After a restart the list of before has them.
+func TestListSettles(t *testing.T) {
+	const self = "vm1@10.0.0.1"
+	began := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name      string
+		records   []store.Item
+		readAfter time.Duration
+		wasListed bool
+		isSettled bool
+	}{
+		{"first read", recordsOf(self), 0, false, false},
+		{"later read", recordsOf(self), settleDelay, false, true},
+		{"stale copy", recordsOf("vm2@10.0.0.2"), settleDelay, false, false},
+		{"restart", recordsOf(self, "vm2@10.0.0.2"), 0, true, true},
+		{"restart, stale copy", nil, 0, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list := &vmList{}
+			list.joined(began, test.wasListed)
+			list.update(test.records, began)
+			list.settle(self, began.Add(test.readAfter))
+			qt.New(t).Assert(list.settled(), qt.Equals, test.isSettled)
+		})
+	}
+}
+
+// A VM whose record the store has not taken yet does not count its list as settled.
+func TestListWithoutOwnRecord(t *testing.T) {
+	list := &vmList{}
+	list.update(recordsOf("vm2@10.0.0.2"), time.Unix(1000, 0))
+	list.settle("vm1@10.0.0.1", time.Unix(2000, 0))
+	qt.New(t).Assert(list.settled(), qt.IsFalse)
+}
+
+// Load: the databases of a fleet that starts register one after the other. A registration
+// updates its own group; the tasks of all the others are not woken.
+func TestRegistrationConcernsItsGroup(t *testing.T) {
+	c := qt.New(t)
+	vm, _, upstream := newUnneededVM()
+	defer vm.stopGroups()
+	var others []<-chan struct{}
+	for name, entry := range vm.groups {
+		if name != "ledger" {
+			others = append(others, entry.group.Changed())
+		}
+	}
+	ledger := vm.groups["ledger"].group
+	feed := vm.newMemberFeed()
+	vm.DecodeMember = decodeTestMember
+	for _, member := range upstream.Members() {
+		changed := ledger.Changed()
+		feed.onChanges([]store.Change{{Item: store.Item{Key: member.ID, Value: []byte(member.Group)}}})
+		c.Check(isClosed(changed), qt.IsTrue)
+	}
+	feed.onChanges([]store.Change{{Item: store.Item{Key: "a"}, IsRemoved: true}})
+	for _, member := range ledger.Members() {
+		c.Check(member.Leaving, qt.Equals, member.ID == "a")
+	}
+	for _, changed := range others {
+		c.Check(isClosed(changed), qt.IsFalse)
+	}
+}
+
+// A database that registers for another group leaves the one before.
+func TestRegistrationMovesToAnotherGroup(t *testing.T) {
+	c := qt.New(t)
+	vm, _, _ := newUnneededVM()
+	defer vm.stopGroups()
+	vm.DecodeMember = decodeTestMember
+	feed := vm.newMemberFeed()
+	var other string
+	for name := range vm.groups {
+		if name != "ledger" {
+			other = name
+		}
+	}
+	feed.onChanges([]store.Change{{Item: store.Item{Key: "a", Value: []byte(other)}}})
+	c.Check(vm.groups["ledger"].group.Members(), qt.HasLen, 2)
+	c.Check(vm.groups[other].group.Members(), qt.HasLen, 1)
+	c.Check(vm.pools.Len(), qt.Equals, 3)
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// Load: a VM with 300 groups. Its periodic tasks wake up together.
+func TestTicksOfOneVM(t *testing.T) {
+	c := qt.New(t)
+	vm, _, _ := newUnneededVM()
+	defer vm.stopGroups()
+	for _, elapsed := range []time.Duration{0, 7 * time.Millisecond, 49 * time.Millisecond, 1234567 * time.Microsecond} {
+		now := time.Unix(1000, 0).Add(elapsed)
+		short, long := vm.untilTick(now, 50*time.Millisecond), vm.untilTick(now, 200*time.Millisecond)
+		c.Check(short > 0 && short <= 50*time.Millisecond, qt.IsTrue)
+		c.Check((long-short)%(50*time.Millisecond), qt.Equals, time.Duration(0), qt.Commentf("%v", elapsed))
+	}
+}
+
+// decodeTestMember decodes a registration whose value is the name of the group.
+func decodeTestMember(key string, value []byte) (dbset.Member, error) {
+	return dbset.Member{ID: key, Group: string(value), Address: key, Zone: "zone-" + key, Slots: 4}, nil
+}
