leader: the leaders of sets that are taken together don't raise their tokens above each other's

Cause: a leader acts only if its fencing token is above those in the records of all other sets. Thirteen leaders of a fleet that starts raised theirs above the last one read, at the same time, each up to 45 times a second for 4 s; until then no group of theirs has leases, and VMs poll the databases for evidence.

A record now has a bound of the tokens under which its leaders claimed groups by another number of sets. Only these can have been used for a group of another set as it is now, so only these have to be exceeded. Records of earlier versions have none, and their token is the bound as before; earlier versions don't read the field.

TestTokensOfManySets failed before (107 writes by 13 leaders).

--- a/leader/claim.go
+++ b/leader/claim.go
@@ -23,8 +23,10 @@
 //   - After the record was written, it read the records of all other sets from the store,
 //     not from a stale copy, and no live one claimed the group. Of two leaders that claim a
 //     group, the one whose record was written later sees the other's claim.
-//   - Its fencing token is higher than those in the other records, by which the group may
-//     have been promoted before.
+//   - Its fencing token is higher than those by which the group may have been promoted
+//     before: of each other record, the last token by which its leader claimed groups by
+//     another number of sets than now. Were it the token of today, the leaders of a fleet that
+//     starts would raise theirs above each other's again and again.
 //
 // A leader gives a group up by renewing its record by another number of sets, once no order
 // for the group is in flight. A record that was released, or that is unchanged for longer than TTL, claims
@@ -149,30 +151,35 @@
 	return elector.grant.at
 }
 
-// beginClaim returns the number of sets and the token for the next renewal. While an order is
-// in flight for a group that the leader gives up, the record goes on claiming it.
-func (elector *Elector) beginClaim() (sets int, token uint64) {
+// claimed returns the number of sets in the last confirmed record. elector.mu must be held,
+// except by Run.
+func (elector *Elector) claimed() int { return max(elector.confirmed.Sets, 1) }
+
+// beginClaim returns the number of sets and the token for the next renewal, and the record that
+// it follows. While an order is in flight for a group that the leader gives up, the record goes
+// on claiming it.
+func (elector *Elector) beginClaim() (sets int, token uint64, former record) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
 	sets = elector.configured()
 	for group := range elector.orders {
 		if SetOf(group, sets) != elector.Set {
-			sets = elector.claimed
+			sets = elector.claimed()
 			break
 		}
 	}
-	if elector.grant != nil && sets != elector.claimed {
+	if elector.grant != nil && sets != elector.claimed() {
 		// The write may be made even if its answer is lost.
 		elector.grant.sets = append(slices.Clone(elector.grant.sets), sets)
 	}
-	return sets, max(elector.token, elector.minToken)
+	return sets, max(elector.token, elector.minToken), elector.confirmed
 }
 
 // isSettled reports whether nothing is left to be read of the other sets' records.
 func (elector *Elector) isSettled() bool {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
-	return elector.grant != nil && elector.claimed == elector.configured() &&
+	return elector.grant != nil && elector.claimed() == elector.configured() &&
 		len(elector.grant.sets) == 1 && len(elector.grant.blockers) == 0
 }
 
@@ -189,7 +196,7 @@
 		return renewRetryDelay
 	}
 	now := elector.Clock.Now()
-	next := &grant{sets: []int{elector.claimed}, blockers: make(map[int]int)}
+	next := &grant{sets: []int{elector.claimed()}, blockers: make(map[int]int)}
 	var highest uint64
 	for _, item := range items {
 		set, ok := setOfKey(item.Key)
@@ -198,8 +205,8 @@
 		}
 		next.at = now
 		other, isLive := elector.observeOther(set, item, now)
-		highest = max(highest, other.Token)
-		if isLive && other.Sets != elector.claimed {
+		highest = max(highest, other.formerToken(elector.claimed()))
+		if isLive && other.Sets != elector.claimed() {
 			next.blockers[set] = other.Sets
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -95,10 +95,10 @@
 	wake chan struct{}
 	// sets is the number of sets by the configuration; 0 counts as 1.
 	sets int
-	// claimed is the number of sets in the last confirmed record, grant what is known of the
-	// other sets' claims; nil if nothing is.
-	claimed int
-	grant   *grant
+	// confirmed is the last confirmed record, grant what is known of the other sets' claims; nil
+	// if nothing is.
+	confirmed record
+	grant     *grant
 	// orders counts the orders in flight by group. minToken is the least token that is higher
 	// than those of the other sets.
 	orders   map[string]int
@@ -192,7 +192,7 @@
 		}
 		elector.token = next.Token
 	}
-	elector.validUntil, elector.confirmedRevision, elector.claimed = sentAt.Add(Validity), revision, max(next.Sets, 1)
+	elector.validUntil, elector.confirmedRevision, elector.confirmed = sentAt.Add(Validity), revision, next
 	if !wasValid {
 		elector.changed.notify()
 	}
@@ -341,8 +341,9 @@
 	next := record{Leader: elector.VM, Run: elector.Process, Token: old.Token + 1}
 	if elector.sets > 1 {
 		// Sets that are taken at the same time begin with different tokens.
-		next.Token, next.Sets = next.Token+uint64(elector.Set), elector.sets
+		next.Token += uint64(elector.Set)
 	}
+	next = next.claiming(elector.configured(), old)
 	elector.mu.Unlock()
 	triedRevision := elector.observed.Revision
 	if elector.writeRecord(ctx, next) {
--- a/leader/record.go
+++ b/leader/record.go
@@ -22,6 +22,29 @@
 	Beat uint64 `json:"beat"`
 	// Sets is the number of sets by which the leader claims groups; absent for one.
 	Sets int `json:"sets,omitempty"`
+	// Before bounds the tokens under which leaders of the set claimed groups by another number
+	// of sets than Sets. In records of earlier versions it is absent, and Token is the bound.
+	Before *uint64 `json:"before,omitempty"`
+}
+
+// formerToken bounds the tokens under which leaders of the set may have acted on groups that
+// are not the set's by the number of sets.
+func (record record) formerToken(sets int) uint64 {
+	if record.Before == nil || max(record.Sets, 1) != sets {
+		return record.Token
+	}
+	return *record.Before
+}
+
+// claiming returns the record with a number of sets by which its leader claims groups, after
+// the record former of the set.
+func (record record) claiming(sets int, former record) record {
+	if sets == 1 {
+		return record
+	}
+	before := former.formerToken(sets)
+	record.Sets, record.Before = sets, &before
+	return record
 }
 
 // invalidate invalidates the lease locally and logs the reason.
@@ -83,12 +106,9 @@
 // renew extends the lease and reports whether that was confirmed. The fencing token stays
 // unless another set's is higher.
 func (elector *Elector) renew(ctx context.Context) bool {
-	sets, token := elector.beginClaim()
+	sets, token, former := elector.beginClaim()
 	next := record{Leader: elector.VM, Run: elector.Process, Token: token}
-	if sets > 1 {
-		next.Sets = sets
-	}
-	return elector.writeRecord(ctx, next)
+	return elector.writeRecord(ctx, next.claiming(sets, former))
 }
 
 // writeRecord replaces the record by compare-and-swap. The lease's validity counts from
@@ -136,10 +156,13 @@
 	if !ok {
 		return
 	}
+	elector.mu.Lock()
+	released := record{Token: token, Sets: elector.confirmed.Sets, Before: elector.confirmed.Before}
+	elector.mu.Unlock()
 	elector.invalidate("released")
 	ctx, cancel := context.WithTimeout(context.Background(), TTL/2)
 	defer cancel()
-	value, err := json.Marshal(record{Token: token})
+	value, err := json.Marshal(released)
 	if err != nil {
 		return
 	}
--- a/leader/sets_test.go
+++ b/leader/sets_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +35,9 @@
 	store.Tree
 	mu    sync.Mutex
 	isCut bool
+	// isFormer makes the VM write records as earlier versions did, without the bound of the
+	// tokens before.
+	isFormer bool
 }
 
 func (tree *flakyTree) setCut(isCut bool) {
@@ -67,13 +72,27 @@
 	if err := tree.unlessCut(ctx); err != nil {
 		return store.Item{}, err
 	}
+	if tree.isFormer {
+		var fields map[string]json.RawMessage
+		if err := json.Unmarshal(value, &fields); err != nil {
+			return store.Item{}, err
+		}
+		delete(fields, "before")
+		var err error
+		if value, err = json.Marshal(fields); err != nil {
+			return store.Item{}, err
+		}
+	}
 	return tree.Tree.Swap(ctx, key, value, revision)
 }
 
 func startSets(tree store.Tree, vm string, process uint64, count int) *setsVM {
+	return startSetsOf(&flakyTree{Tree: tree}, vm, process, count)
+}
+
+func startSetsOf(flaky *flakyTree, vm string, process uint64, count int) *setsVM {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	flaky := &flakyTree{Tree: tree}
 	sets := &leader.Sets{
 		Store: flaky, Clock: clock.System{}, Log: event.NewLog(logger, vm), VM: vm, Process: process,
 		LastMessageAt:   func(int) time.Time { return time.Time{} },
@@ -203,11 +222,72 @@
 func TestOneLeaderPerGroup(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkOneLeaderPerGroup(t, rand.New(rand.NewPCG(2, seed))) })
+			synctest.Test(t, func(t *testing.T) { checkOneLeaderPerGroup(t, rand.New(rand.NewPCG(2, seed)), 0) })
 		})
 	}
 }
 
+// The same while some of the VMs run an earlier version.
+func TestOneLeaderPerGroupOfTwoVersions(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkOneLeaderPerGroup(t, rand.New(rand.NewPCG(3, seed)), 2) })
+		})
+	}
+}
+
+// countingTree counts the writes that were made.
+type countingTree struct {
+	store.Tree
+	swaps atomic.Int64
+}
+
+func (tree *countingTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
+	// As long as the store of the users takes, so that the VMs' writes and reads alternate.
+	time.Sleep(4 * time.Millisecond)
+	item, err := tree.Tree.Swap(ctx, key, value, revision)
+	if err == nil {
+		tree.swaps.Add(1)
+	}
+	return item, err
+}
+
+// Load: the leaders of many sets take them at the same time. They don't raise their fencing
+// tokens above each other's: each writes its record to take the set, and at most once more, if it is woken, before it renews
+// it after a second.
+func TestTokensOfManySets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const sets = 13
+		tree := &countingTree{Tree: &fakekv.Tree{}}
+		var allSets []int
+		for set := range sets {
+			allSets = append(allSets, set)
+		}
+		var vms []*setsVM
+		for vm := range 4 * sets {
+			started := startSets(tree, fmt.Sprintf("vm%d", vm), 1, sets)
+			started.Watch(allSets)
+			vms = append(vms, started)
+		}
+		time.Sleep(900 * time.Millisecond)
+		for set := range sets {
+			var leaders int
+			for _, vm := range vms {
+				if _, ok := vm.Holds(set, 0); ok {
+					leaders++
+				}
+			}
+			c.Check(leaders, qt.Equals, 1)
+		}
+		c.Check(tree.swaps.Load() <= 2*sets, qt.IsTrue, qt.Commentf("%d writes", tree.swaps.Load()))
+		for _, vm := range vms {
+			vm.cancel()
+			<-vm.done
+		}
+	})
+}
+
 // groupHistory is which VM last could act on a group, and the order in flight.
 type groupHistory struct {
 	vm, orderBy int
@@ -216,14 +296,16 @@
 	endOrder    func()
 }
 
-func checkOneLeaderPerGroup(t *testing.T, random *rand.Rand) {
+// former is the number of VMs of an earlier version.
+func checkOneLeaderPerGroup(t *testing.T, random *rand.Rand, former int) {
 	const vmCount, groupCount = 4, 12
 	tree := &fakekv.Tree{}
 	vms := make([]*setsVM, vmCount)
 	counts := make([]int, vmCount)
 	for vm := range vms {
 		counts[vm] = 1 + random.IntN(3)
-		vms[vm] = startSets(tree, fmt.Sprintf("vm%d", vm), 0, counts[vm])
+		flaky := &flakyTree{Tree: tree, isFormer: vm < former}
+		vms[vm] = startSetsOf(flaky, fmt.Sprintf("vm%d", vm), 0, counts[vm])
 	}
 	histories := make([]groupHistory, groupCount)
 	check := func() (held int) {
