vmrun: the list of VMs is settled by a fresh read

The read that settles the list is now one of the store's present state, one call for each start of a VM.

--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -119,15 +119,21 @@
 	}
 }
 
-// settle marks the list as settled if it was read late enough, at readAt, to have the VMs that
-// started together with this one. A list without this VM's own record is a stale copy.
-func (vmList *vmList) settle(self string, readAt time.Time) {
+// needsFreshRead reports whether the next read of the list, at the time now, has to be that of
+// the store's present state: a stale copy may lack the VMs that started together with this one.
+func (vmList *vmList) needsFreshRead(now time.Time) bool {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	return !vmList.isSettled && !vmList.joinedAt.IsZero() && now.Sub(vmList.joinedAt) >= settleDelay
+}
+
+// settle marks the list as settled after a fresh read. A copy will do if an earlier process of
+// the VM was in it, since it has the VMs of that time.
+func (vmList *vmList) settle(self string, isFresh bool) {
 	vmList.mu.Lock()
 	defer vmList.mu.Unlock()
 	_, isListed := vmList.records[vmPrefix+self]
-	if isListed && (vmList.wasListed || !vmList.joinedAt.IsZero() && readAt.Sub(vmList.joinedAt) >= settleDelay) {
-		vmList.isSettled = true
-	}
+	vmList.isSettled = vmList.isSettled || isFresh || vmList.wasListed && isListed
 }
 
 // settled reports whether the list can tell the size of the fleet. Until then, a VM of a fleet
@@ -208,11 +214,11 @@
 				nextWrite = now.Add(vmRecordInterval)
 			}
 		}
-		readAt := vm.Clock.Now()
-		if items, _, err := vm.Store.Range(ctx, ownPrefix, true); err == nil {
+		isFresh := vm.vmList.needsFreshRead(vm.Clock.Now())
+		if items, _, err := vm.Store.Range(ctx, ownPrefix, !isFresh); err == nil {
 			vm.installPeerKeys(items)
 			vm.vmList.update(items, vm.Clock.Now())
-			vm.vmList.settle(vm.id(), readAt)
+			vm.vmList.settle(vm.id(), isFresh)
 			vm.retainRouters()
 		}
 		wait := vmListInterval
--- a/vmrun/vms_test.go
+++ b/vmrun/vms_test.go
@@ -18,8 +18,8 @@
 	return items
 }
 
-// A list is settled once it has the VM's own record, and was read when the VMs that started
-// together had written theirs. After a restart the list of before has them.
+// A list is settled by a fresh read at a time when the VMs that started together have written
+// their records. After a restart, a copy that has the VM's own record has those of the others.
 func TestListSettles(t *testing.T) {
 	const self = "vm1@10.0.0.1"
 	began := time.Unix(1000, 0)
@@ -28,30 +28,34 @@
 		records   []store.Item
 		readAfter time.Duration
 		wasListed bool
+		isFresh   bool
 		isSettled bool
 	}{
-		{"first read", recordsOf(self), 0, false, false},
-		{"later read", recordsOf(self), settleDelay, false, true},
-		{"stale copy", recordsOf("vm2@10.0.0.2"), settleDelay, false, false},
-		{"restart", recordsOf(self, "vm2@10.0.0.2"), 0, true, true},
-		{"restart, stale copy", nil, 0, true, false},
+		{"first read", recordsOf(self), 0, false, false, false},
+		{"later read", recordsOf(self), settleDelay, false, true, true},
+		{"restart", recordsOf(self, "vm2@10.0.0.2"), 0, true, false, true},
+		{"restart, stale copy", nil, 0, true, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
 			list := &vmList{}
 			list.joined(began, test.wasListed)
+			c.Assert(list.needsFreshRead(began.Add(test.readAfter)), qt.Equals, test.isFresh)
 			list.update(test.records, began)
-			list.settle(self, began.Add(test.readAfter))
-			qt.New(t).Assert(list.settled(), qt.Equals, test.isSettled)
+			list.settle(self, test.isFresh)
+			c.Assert(list.settled(), qt.Equals, test.isSettled)
 		})
 	}
 }
 
 // A VM whose record the store has not taken yet does not count its list as settled.
 func TestListWithoutOwnRecord(t *testing.T) {
+	c := qt.New(t)
 	list := &vmList{}
 	list.update(recordsOf("vm2@10.0.0.2"), time.Unix(1000, 0))
-	list.settle("vm1@10.0.0.1", time.Unix(2000, 0))
-	qt.New(t).Assert(list.settled(), qt.IsFalse)
+	c.Assert(list.needsFreshRead(time.Unix(2000, 0)), qt.IsFalse)
+	list.settle("vm1@10.0.0.1", false)
+	c.Assert(list.settled(), qt.IsFalse)
 }
 
 // Load: the databases of a fleet that starts register one after the other. A registration
