--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -131,7 +131,8 @@
 		now := vm.Clock.Now()
 		isLeader := vm.leadsGroup(group.Name)
 		group.AllowEvidence(vm.vmList.mayUseEvidence(now))
-		for id, rate := range group.PollRates(isLeader, vm.hasConnsForPolls(group.Name), now) {
+		rates := group.PollRates(isLeader, vm.hasConnsForPolls(group.Name), now)
+		for id, rate := range rates {
 			if rate == dbset.NoPoll || now.Sub(polledAt[id]) < intervalFor(rate) || isRunning(inFlight[id]) {
 				continue
 			}
@@ -145,11 +146,21 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-vm.tick(pollInterval / 3):
+		case <-vm.tick(vm.pollCheckInterval(len(rates) > 0)):
 		}
 	}
 }
 
+// pollCheckInterval returns the time to the next check of which databases to poll. In a large
+// fleet, a VM that polls none checks less often; it may then report a primary that it can't
+// reach up to 100 ms later.
+func (vm *VM) pollCheckInterval(isPolling bool) time.Duration {
+	if isPolling || !vm.isLargeFleet() {
+		return pollInterval / 3
+	}
+	return pollInterval
+}
+
 // hasConnsForPolls reports whether the VM may poll databases without a lease: the fleet is
 // known, and its connections to the group's databases are not scarce.
 func (vm *VM) hasConnsForPolls(group string) bool {
--- a/vmrun/vms_test.go
+++ b/vmrun/vms_test.go
@@ -132,3 +132,15 @@
 func decodeTestMember(key string, value []byte) (dbset.Member, error) {
 	return dbset.Member{ID: key, Group: string(value), Address: key, Zone: "zone-" + key, Slots: 4}, nil
 }
+
+// Load: a VM of a large fleet needs groups whose databases it does not poll. It checks them less
+// often than one that polls, or one of a small fleet, which reports lost primaries sooner.
+func TestPollChecksOfLargeFleet(t *testing.T) {
+	c := qt.New(t)
+	vm, _, _ := newUnneededVM()
+	defer vm.stopGroups()
+	c.Check(vm.pollCheckInterval(false), qt.Equals, pollInterval)
+	c.Check(vm.pollCheckInterval(true), qt.Equals, pollInterval/3)
+	vm.vmList.update(recordsOf("vm2@10.0.0.2"), vm.Clock.Now())
+	c.Check(vm.pollCheckInterval(false), qt.Equals, pollInterval/3)
+}
