--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -155,7 +155,7 @@
 // fleet, a VM that polls none checks less often; it may then report a primary that it can't
 // reach up to 100 ms later.
 func (vm *VM) pollCheckInterval(isPolling bool) time.Duration {
-	if isPolling || !vm.isLargeFleet() {
+	if isPolling || vm.vmList.count(vm.Clock.Now()) <= idleFleet {
 		return pollInterval / 3
 	}
 	return pollInterval
