--- a/vmrun/fleet_test.go
+++ b/vmrun/fleet_test.go
@@ -227,13 +227,16 @@
 	// teams is the number of teams in the configuration.
 	teams int
 	// others has the groups with databases besides upstream, by name.
-	others map[string]*fakeup.Upstream
+	others   map[string]*fakeup.Upstream
+	othersMu sync.Mutex
 }
 
 // addUpstream adds the databases of another group of the configuration.
 func (fleet *fleet) addUpstream(name string) {
 	added := fakeup.New(name)
+	fleet.othersMu.Lock()
 	fleet.others[name] = added
+	fleet.othersMu.Unlock()
 	for _, member := range added.Members() {
 		member.ID = name + "-" + member.ID
 		fleet.register(member)
@@ -247,7 +250,9 @@
 }
 
 func (dialer groupDialer) Dial(member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	dialer.fleet.othersMu.Lock()
 	upstream, ok := dialer.fleet.others[member.Group]
+	dialer.fleet.othersMu.Unlock()
 	if !ok {
 		upstream = dialer.fleet.upstream
 	}
