leader: TestAcquired gets its channel after the elector has taken the groups

Cause: the elector closes Acquired's channel when the lease is valid and again when the other sets' records are read. The test got the second channel between the two, so it was closed by the second at once.

--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -80,6 +80,8 @@
 			<-acquired
 			_, ok = elector.Holds(0)
 			c.Assert(ok, qt.IsTrue)
+			// The channel is closed once more when the VM may act on the groups.
+			synctest.Wait()
 			acquired = elector.Acquired()
 			tree.SetDown(true)
 			time.Sleep(leader.TTL)
