dbset: the leader polls the replicas as often as the primary while that fails

Cause of TestFormerPrimaryIsNotUsed: a leader counts a primary as unreachable only if another database has answered within 600 ms, and it polled the replicas only every 2.5 s. It noticed its own partition from the primary up to 2.5 s late.

--- a/dbset/gap_test.go
+++ b/dbset/gap_test.go
@@ -74,3 +74,23 @@
 		c.Assert(group.PollRates(test.isLeader, test.hasConns, at(0)), qt.HasLen, test.want)
 	}
 }
+
+// Rule 8: the leader loses the primary while other VMs reach it. It counts the primary as
+// unreachable only while a replica has answered lately, so it polls the replicas as often as the
+// primary then; at the slow rate, a partition was noticed up to 2.5 s later.
+func TestReplicasOfFailingPrimaryArePolled(t *testing.T) {
+	c := qt.New(t)
+	group := newGroup()
+	group.Report("a", dbset.Report{Primary: true, Term: 1}, at(0), at(1))
+	group.Report("b", dbset.Report{Term: 1}, at(0), at(1))
+	rates := group.PollRates(true, false, at(10))
+	c.Assert(rates["b"], qt.Equals, dbset.SlowPoll)
+	group.Failed("a", false, at(200))
+	rates = group.PollRates(true, false, at(210))
+	for _, id := range []string{"a", "b", "c"} {
+		c.Check(rates[id], qt.Equals, dbset.FastPoll, qt.Commentf("%s", id))
+	}
+	c.Check(group.PollRates(false, false, at(210)), qt.DeepEquals, map[string]dbset.PollRate{"a": dbset.FastPoll})
+	group.Report("a", dbset.Report{Primary: true, Term: 1}, at(300), at(301))
+	c.Check(group.PollRates(true, false, at(310))["b"], qt.Equals, dbset.SlowPoll)
+}
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -102,7 +102,8 @@
 
 // PollRates returns the members that should be polled for their reports. The
 // leader polls the primary if it has not answered for maxPrimarySilence, the
-// replicas at the slow rate, and all databases while no primary is known. Any VM polls a
+// replicas at the slow rate, and all databases while no primary is known or the primary fails:
+// it can't tell a partition from the primary unless replicas answer. Any VM polls a
 // failing primary, and one replica for evidence, if evidence is allowed, while the VM's own
 // lease has expired or ends within EvidenceDuration/2. Other VMs than the leader poll all
 // databases while no primary is known if they may use evidence, or else if hasConns: then the
@@ -114,6 +115,8 @@
 	defer group.mu.Unlock()
 	isWithheld := !isLeader && hasConns && group.isLeaseWithheld(now)
 	isLeaseFresh := group.leasedUntil.After(now.Add(EvidenceDuration / 2))
+	primary, isKnown := group.members[group.primary]
+	isFailing := isKnown && primary.failures > 0
 	rates := make(map[string]PollRate)
 	var evidenceSource string
 	for id, member := range group.members {
@@ -121,7 +124,9 @@
 		switch {
 		case group.primary == "" && (isLeader || hasConns || group.mayUseEvidence):
 			rates[id] = FastPoll
-		case isPrimary && (isLeader && now.Sub(member.lastAnswerAt) > maxPrimarySilence || member.failures > 0):
+		case isPrimary && (isLeader && now.Sub(member.lastAnswerAt) > maxPrimarySilence || isFailing):
+			rates[id] = FastPoll
+		case isLeader && isFailing:
 			rates[id] = FastPoll
 		case isLeader && !isPrimary:
 			rates[id] = SlowPoll
