--- a/leader/claim.go
+++ b/leader/claim.go
@@ -23,10 +23,10 @@
 //   - After the record was written, it read the records of all other sets from the store,
 //     not from a stale copy, and no live one claimed the group. Of two leaders that claim a
 //     group, the one whose record was written later sees the other's claim.
-//   - Its fencing token is higher than those by which the group may have been promoted
-//     before: of each other record, the last token by which its leader claimed groups by
-//     another number of sets than now. Were it the token of today, the leaders of a fleet that
-//     starts would raise theirs above each other's again and again.
+//   - Its fencing token is higher than those with which leaders of other sets may have acted on
+//     the group, which is when their records had another number of sets (record.Before). The
+//     present tokens of the other records need not be exceeded: the leaders of a fleet that
+//     starts would raise their tokens above each other's again and again.
 //
 // A leader gives a group up by renewing its record by another number of sets, once no order
 // for the group is in flight. A record that was released, or that is unchanged for longer than TTL, claims
@@ -151,8 +151,8 @@
 	return elector.grant.at
 }
 
-// claimed returns the number of sets in the last confirmed record. elector.mu must be held,
-// except by Run.
+// claimed returns the number of sets in the last confirmed record. elector.mu must be held, but
+// not by Run, which alone changes the record.
 func (elector *Elector) claimed() int { return max(elector.confirmed.Sets, 1) }
 
 // beginClaim returns the number of sets and the token for the next renewal, and the record that
--- a/leader/record.go
+++ b/leader/record.go
@@ -22,13 +22,13 @@
 	Beat uint64 `json:"beat"`
 	// Sets is the number of sets by which the leader claims groups; absent for one.
 	Sets int `json:"sets,omitempty"`
-	// Before bounds the tokens under which leaders of the set claimed groups by another number
+	// Before bounds the tokens with which leaders of the set have claimed groups by another number
 	// of sets than Sets. In records of earlier versions it is absent, and Token is the bound.
 	Before *uint64 `json:"before,omitempty"`
 }
 
-// formerToken bounds the tokens under which leaders of the set may have acted on groups that
-// are not the set's by the number of sets.
+// formerToken bounds the tokens with which leaders of the record's set may have acted on groups
+// that belong to other sets by the given number of sets.
 func (record record) formerToken(sets int) uint64 {
 	if record.Before == nil || max(record.Sets, 1) != sets {
 		return record.Token
@@ -36,8 +36,8 @@
 	return *record.Before
 }
 
-// claiming returns the record with a number of sets by which its leader claims groups, after
-// the record former of the set.
+// claiming returns the record with the number of sets by which its leader claims groups. former
+// is the set's record that it replaces.
 func (record record) claiming(sets int, former record) record {
 	if sets == 1 {
 		return record
--- a/leader/sets_test.go
+++ b/leader/sets_test.go
@@ -35,8 +35,8 @@
 	store.Tree
 	mu    sync.Mutex
 	isCut bool
-	// isFormer makes the VM write records as earlier versions did, without the bound of the
-	// tokens before.
+	// isFormer makes the VM decide by the records, and write them, as the version before the
+	// field "before" did: it does not see the field, and releases a record without sets.
 	isFormer bool
 }
 
@@ -65,7 +65,13 @@
 	if err := tree.unlessCut(ctx); err != nil {
 		return nil, 0, err
 	}
-	return tree.Tree.Range(ctx, prefix, allowStale)
+	items, revision, err := tree.Tree.Range(ctx, prefix, allowStale)
+	if tree.isFormer {
+		for i := range items {
+			items[i].Value = formerRecord(items[i].Value)
+		}
+	}
+	return items, revision, err
 }
 
 func (tree *flakyTree) Swap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
@@ -73,17 +79,30 @@
 		return store.Item{}, err
 	}
 	if tree.isFormer {
-		var fields map[string]json.RawMessage
-		if err := json.Unmarshal(value, &fields); err != nil {
-			return store.Item{}, err
-		}
-		delete(fields, "before")
-		var err error
-		if value, err = json.Marshal(fields); err != nil {
-			return store.Item{}, err
-		}
+		value = formerRecord(value)
+	}
+	item, err := tree.Tree.Swap(ctx, key, value, revision)
+	if tree.isFormer {
+		item.Value = formerRecord(item.Value)
+	}
+	return item, err
+}
+
+// formerRecord returns a record as the version before the field "before" writes and reads it.
+func formerRecord(value []byte) []byte {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(value, &fields) != nil {
+		return value
+	}
+	delete(fields, "before")
+	if string(fields["holder"]) == `""` {
+		delete(fields, "sets")
+	}
+	former, err := json.Marshal(fields)
+	if err != nil {
+		panic(err)
 	}
-	return tree.Tree.Swap(ctx, key, value, revision)
+	return former
 }
 
 func startSets(tree store.Tree, vm string, process uint64, count int) *setsVM {
@@ -227,7 +246,8 @@
 	}
 }
 
-// The same while some of the VMs run an earlier version.
+// The same while two of the four VMs read and write records as the version before the field
+// "before" did.
 func TestOneLeaderPerGroupOfTwoVersions(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -253,8 +273,8 @@
 }
 
 // Load: the leaders of many sets take them at the same time. They don't raise their fencing
-// tokens above each other's: each writes its record to take the set, and at most once more, if it is woken, before it renews
-// it after a second.
+// tokens above each other's: before the first renewal, after a second, each writes its record
+// to take the set, and at most once more if it is woken.
 func TestTokensOfManySets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -296,7 +316,7 @@
 	endOrder    func()
 }
 
-// former is the number of VMs of an earlier version.
+// former is the number of VMs that use records as an earlier version did.
 func checkOneLeaderPerGroup(t *testing.T, random *rand.Rand, former int) {
 	const vmCount, groupCount = 4, 12
 	tree := &fakekv.Tree{}
--- a/lease/issue.go
+++ b/lease/issue.go
@@ -68,8 +68,8 @@
 		issuer.leasedAt[request.From] = now
 	}
 	reply.StoreState = agent.StoreState(request.Set)
-	// Before that, not all VMs can have asked this leader: a VM that took the fleet for a small
-	// one would need all groups.
+	// All VMs have had the time to ask this leader after dbset.LeaseDuration. With an earlier
+	// count, VMs would take the fleet for a small one and need all groups.
 	if agent.Leadership.Count() == 1 && now.Sub(issuer.tokenSince) >= dbset.LeaseDuration {
 		reply.StoreState.VMs = issuer.countRequesters(now)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,11 +43,13 @@
 	// maxDoublings bounds the exponent of the backoff, which reaches RenewInterval
 	// with fewer doublings.
 	maxDoublings = 4
-	// A VM that asks the leaders of many sets asks one in requestPause on average, but each after
-	// maxRenewInterval at the latest. An unanswered request is repeated earlier.
+	// A VM sends a request for all leases every requestPause on average if it asks the leaders
+	// of more than RenewInterval/requestPause sets, but to each leader at least every
+	// maxRenewInterval. An unanswered request is repeated earlier.
 	requestPause     = 100 * time.Millisecond
 	maxRenewInterval = 2 * RenewInterval
-	// maxRequestAhead is how long before it is due a request for all leases is sent at most.
+	// maxRequestAhead is how much too early a request for all leases may be sent, together with
+	// one that is due.
 	maxRequestAhead = RenewInterval / 4
 	// In fleets of more than largeFleet VMs the number of requesters is counted once in
 	// recountInterval, rather than for each request.
--- a/lease/request.go
+++ b/lease/request.go
@@ -86,8 +86,8 @@
 	return wait
 }
 
-// requestAhead returns how long before it is due a request for all leases may be sent: if one is
-// due, others that are nearly due are sent with it, so that a VM that asks the leaders of many
+// requestAhead returns how much too early requests for all leases may be sent now. If one is
+// due, those that are nearly due are sent with it, so that a VM that asks the leaders of many
 // sets wakes up once for all of them.
 func (agent *Agent) requestAhead(bySet map[int][]*dbset.Group) time.Duration {
 	for set := range bySet {
