--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -34,20 +34,14 @@
 	// Read under the lock: a value read before it may be older than the one that a
 	// concurrent call has applied.
 	current := vm.config.Load()
-	all, byGroup := vm.members.all()
 	if current == nil || vm.isStopped {
 		return
 	}
 	vm.elector.SetCount(leader.SetCount(len(current.Upstreams)))
-	vm.pools.SetMembers(all)
-	now := vm.Clock.Now()
 	for name := range current.Upstreams {
-		entry, ok := vm.groups[name]
-		if !ok {
-			entry = vm.startGroup(name)
-			vm.groups[name] = entry
+		if _, ok := vm.groups[name]; !ok {
+			vm.groups[name] = vm.startGroup(name)
 		}
-		entry.group.SetMembers(byGroup[name], now)
 	}
 	for name, entry := range vm.groups {
 		if _, ok := current.Upstreams[name]; !ok {
@@ -56,7 +50,7 @@
 			delete(vm.groups, name)
 		}
 	}
-	vm.isReady = len(all) > 0 && !vm.isStopping
+	vm.applyMembers(func(string) bool { return true })
 }
 
 // reconcileMembers is reconcile for changes of the databases of some groups. A fleet that
@@ -71,12 +65,16 @@
 	if vm.config.Load() == nil || vm.isStopped {
 		return
 	}
-	isChanged := func(group string) bool { return changed[group] }
-	members, byGroup := vm.members.collect(isChanged)
-	vm.pools.SetMembersOf(isChanged, members)
+	vm.applyMembers(func(group string) bool { return changed[group] })
+}
+
+// applyMembers updates the databases of the chosen groups, and their pools. vm.mu must be held.
+func (vm *VM) applyMembers(isChosen func(group string) bool) {
+	members, byGroup := vm.members.ofGroups(isChosen)
+	vm.pools.SetMembersOf(isChosen, members)
 	now := vm.Clock.Now()
-	for name := range changed {
-		if entry, ok := vm.groups[name]; ok {
+	for name, entry := range vm.groups {
+		if isChosen(name) {
 			entry.group.SetMembers(byGroup[name], now)
 		}
 	}
@@ -91,7 +89,7 @@
 	if current := vm.config.Load(); vm.isStopped || current != nil && next.Version <= current.Version {
 		return
 	}
-	_, byGroup := vm.members.all()
+	_, byGroup := vm.members.ofGroups(func(string) bool { return true })
 	for name := range next.Upstreams {
 		if _, ok := vm.groups[name]; !ok {
 			vm.groups[name] = vm.startGroup(name)
@@ -151,9 +149,9 @@
 	}
 }
 
-// pollCheckInterval returns the time to the next check of which databases to poll. In a large
-// fleet, a VM that polls none checks less often; it may then report a primary that it can't
-// reach up to 100 ms later.
+// pollCheckInterval returns the time to the next check of which databases to poll. In a fleet
+// known to be large, a VM that polls none checks less often; it may then report a primary that
+// it can't reach up to 100 ms later.
 func (vm *VM) pollCheckInterval(isPolling bool) time.Duration {
 	if isPolling || vm.vmList.count(vm.Clock.Now()) <= idleFleet {
 		return pollInterval / 3
--- a/vmrun/members.go
+++ b/vmrun/members.go
@@ -61,7 +61,7 @@
 			}
 		}
 		vm.members.mu.Unlock()
-		vm.reconcile()
+		vm.reconcileMembers(changed)
 	}
 	onChanges := func(changes []store.Change) {
 		vm.members.mu.Lock()
@@ -166,13 +166,8 @@
 	return changed
 }
 
-// all returns all members, and the members by group.
-func (members *members) all() ([]dbset.Member, map[string][]dbset.Member) {
-	return members.collect(func(string) bool { return true })
-}
-
-// collect returns the members of the chosen groups, and these members by group.
-func (members *members) collect(isChosen func(group string) bool) ([]dbset.Member, map[string][]dbset.Member) {
+// ofGroups returns the members of the chosen groups, and these members by group.
+func (members *members) ofGroups(isChosen func(group string) bool) ([]dbset.Member, map[string][]dbset.Member) {
 	members.mu.Lock()
 	defer members.mu.Unlock()
 	var chosen []dbset.Member
--- a/vmrun/start_test.go
+++ b/vmrun/start_test.go
@@ -19,7 +19,7 @@
 type startCost struct {
 	// meanBytes and maxBytes are the bytes per second of datagrams from and to a VM.
 	meanBytes, maxBytes int
-	// maxConns is the number of connections from other VMs to the VM that has the most.
+	// maxConns is the number of connections that other VMs opened to the VM that got the most.
 	maxConns int
 	// readsPerVM is the number of reads of the store by each VM. One that allows a stale
 	// answer counts as a tenth, as the store charges it.
@@ -42,11 +42,12 @@
 	fleet.tree.SetStale(false)
 	time.Sleep(startDuration - staleFor)
 	var cost startCost
+	var sum int
 	fleet.network.mu.Lock()
 	defer fleet.network.mu.Unlock()
 	for _, vm := range fleet.vms {
 		bytes := fleet.network.traffic[vm.vm.Address] / int(startDuration.Seconds())
-		cost.meanBytes += bytes / int(vms)
+		sum += bytes
 		cost.maxBytes = max(cost.maxBytes, bytes)
 		cost.maxConns = max(cost.maxConns, fleet.network.connected[vm.vm.Address])
 		for kind, weight := range map[string]float64{"range": 1, "rangeStale": 0.1, "watch": 1} {
@@ -55,6 +56,7 @@
 			}
 		}
 	}
+	cost.meanBytes = sum / int(vms)
 	for _, upstream := range fleet.others {
 		for _, id := range []string{"a", "b", "c"} {
 			upstream.Do(id, func(database *fakeup.Database) { cost.dialsPerGroup += database.Opened })
@@ -73,16 +75,22 @@
 	// Two routing VMs and the leader of the set connect to three databases; idle connections are
 	// closed, and so may be opened again.
 	const maxDials = 2 * (2 + 1) * 3
-	costs := make(map[uint64]startCost)
+	// A mean of several starts, since VMs draw at random when they ask.
+	const starts = 4
+	reads := make(map[uint64]float64)
 	for _, vms := range []uint64{30, 100} {
-		synctest.Test(t, func(*testing.T) { costs[vms] = measureStart(vms) })
-		t.Logf("%d VMs: %+v", vms, costs[vms])
-		c := qt.New(t)
-		c.Check(costs[vms].meanBytes < maxMeanBytes, qt.IsTrue)
-		c.Check(costs[vms].maxBytes < maxBusiestBytes, qt.IsTrue)
-		c.Check(costs[vms].maxConns < maxConns, qt.IsTrue)
-		c.Check(costs[vms].dialsPerGroup <= maxDials, qt.IsTrue)
+		for range starts {
+			var cost startCost
+			synctest.Test(t, func(*testing.T) { cost = measureStart(vms) })
+			t.Logf("%d VMs: %+v", vms, cost)
+			c := qt.New(t)
+			c.Check(cost.meanBytes < maxMeanBytes, qt.IsTrue)
+			c.Check(cost.maxBytes < maxBusiestBytes, qt.IsTrue)
+			c.Check(cost.maxConns < maxConns, qt.IsTrue)
+			c.Check(cost.dialsPerGroup <= maxDials, qt.IsTrue)
+			reads[vms] += cost.readsPerVM / starts
+		}
 	}
 	c := qt.New(t)
-	c.Check(costs[100].readsPerVM <= costs[30].readsPerVM+1, qt.IsTrue)
+	c.Check(reads[100] <= reads[30]+1, qt.IsTrue, qt.Commentf("%v", reads))
 }
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -37,7 +37,7 @@
 	// wasListed is set if an earlier process had written it.
 	joinedAt  time.Time
 	wasListed bool
-	// isSettled is the result of the method settled.
+	// isSettled is set once the list can tell the size of the fleet.
 	isSettled bool
 }
 
@@ -127,8 +127,8 @@
 	return !vmList.isSettled && !vmList.joinedAt.IsZero() && now.Sub(vmList.joinedAt) >= settleDelay
 }
 
-// settle marks the list as settled after a fresh read. A copy will do if an earlier process of
-// the VM was in it, since it has the VMs of that time.
+// settle marks the list as settled after a fresh read. A stale copy is enough if it has the
+// record of an earlier process of the VM, since it then has the VMs of that time.
 func (vmList *vmList) settle(self string, isFresh bool) {
 	vmList.mu.Lock()
 	defer vmList.mu.Unlock()
@@ -136,8 +136,8 @@
 	vmList.isSettled = vmList.isSettled || isFresh || vmList.wasListed && isListed
 }
 
-// settled reports whether the list can tell the size of the fleet. Until then, a VM of a fleet
-// that starts would take the fleet for a small one, in which every VM needs all groups.
+// settled reports whether the list can tell the size of the fleet. A VM that starts together
+// with others would else take the fleet for a small one, in which every VM needs all groups.
 func (vmList *vmList) settled() bool {
 	vmList.mu.Lock()
 	defer vmList.mu.Unlock()
--- a/vmrun/vms_test.go
+++ b/vmrun/vms_test.go
@@ -115,19 +115,6 @@
 	}
 }
 
-// Load: a VM with 300 groups. Its periodic tasks wake up together.
-func TestTicksOfOneVM(t *testing.T) {
-	c := qt.New(t)
-	vm, _, _ := newUnneededVM()
-	defer vm.stopGroups()
-	for _, elapsed := range []time.Duration{0, 7 * time.Millisecond, 49 * time.Millisecond, 1234567 * time.Microsecond} {
-		now := time.Unix(1000, 0).Add(elapsed)
-		short, long := vm.untilTick(now, 50*time.Millisecond), vm.untilTick(now, 200*time.Millisecond)
-		c.Check(short > 0 && short <= 50*time.Millisecond, qt.IsTrue)
-		c.Check((long-short)%(50*time.Millisecond), qt.Equals, time.Duration(0), qt.Commentf("%v", elapsed))
-	}
-}
-
 // decodeTestMember decodes a registration whose value is the name of the group.
 func decodeTestMember(key string, value []byte) (dbset.Member, error) {
 	return dbset.Member{ID: key, Group: string(value), Address: key, Zone: "zone-" + key, Slots: 4}, nil
--- a/vmrun/wakeups_test.go
+++ b/vmrun/wakeups_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,17 +24,36 @@
 	"github.com/bramleydoor/bramleydoor/store"
 )
 
-// countingClock counts the timers that are started.
+// countingClock counts the timers that are started, and the moments at which they end.
 type countingClock struct {
 	clock.System
 	timers atomic.Int64
+
+	mu   sync.Mutex
+	ends map[time.Time]bool
 }
 
 func (clock *countingClock) After(duration time.Duration) <-chan time.Time {
 	clock.timers.Add(1)
+	clock.mu.Lock()
+	defer clock.mu.Unlock()
+	if clock.ends == nil {
+		clock.ends = make(map[time.Time]bool)
+	}
+	clock.ends[time.Now().Add(duration)] = true
 	return clock.System.After(duration)
 }
 
+// takeEnds returns the number of moments at which the timers end that were started since the
+// last call.
+func (clock *countingClock) takeEnds() int {
+	clock.mu.Lock()
+	defer clock.mu.Unlock()
+	count := len(clock.ends)
+	clock.ends = nil
+	return count
+}
+
 // newUnneededVM returns a VM with 80 groups in a fleet of 300, none of which it routes. One
 // of the groups has databases.
 func newUnneededVM() (*VM, *countingClock, *fakeup.Upstream) {
@@ -87,6 +107,26 @@
 	})
 }
 
+// Load: a VM needs 80 groups, each since another moment. Their polling wakes up together, not
+// each by itself: 20 times a second at most.
+func TestWakeUpsOfNeededGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		vm, counting, _ := newUnneededVM()
+		defer vm.stopGroups()
+		for name := range vm.groups {
+			vm.Group(name)
+			time.Sleep(3 * time.Millisecond)
+		}
+		synctest.Wait()
+		counting.takeEnds()
+		time.Sleep(5 * time.Second)
+		ends := counting.takeEnds()
+		c.Assert(ends > 0, qt.IsTrue)
+		c.Assert(ends <= 5*20+1, qt.IsTrue, qt.Commentf("%d moments in 5 s", ends))
+	})
+}
+
 // A group that becomes needed is polled at once: by a request, because the VM becomes the
 // leader, or because the other VMs that route it have gone. A sleeping poll must miss none
 // of these.
