leader: a heartbeat names the leader at once

Cause: a VM that gets leases does not read the leader's record, and it applied heartbeats only once they had stopped, so it named the former leader until its next read (TestHeartbeatNamesLeader fails without this).

--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -27,11 +27,13 @@
 
 // ObserveHeartbeat stores a heartbeat of another leader. If the leader then stops sending,
 // this VM waits TTL and the clock margin from heartbeat.At, without having to watch the
-// record for that long.
+// record for that long. It takes the sender for the leader at once, since it does not read
+// the record while a leader answers.
 func (elector *Elector) ObserveHeartbeat(heartbeat Heartbeat) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
 	elector.heartbeat = heartbeat
+	elector.setKnownLeader(heartbeat.Leader, heartbeat.Revision)
 }
 
 // applyHeartbeat uses the last heartbeat like a read of the record, unless the VM has
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -111,8 +111,9 @@
 	confirmedRevision uint64
 	// heartbeat is the last heartbeat of another leader.
 	heartbeat Heartbeat
-	// knownLeader is the leader named by the last valid record observed.
-	knownLeader string
+	// knownLeader is the leader by the record's newest known revision, knownRevision.
+	knownLeader   string
+	knownRevision uint64
 	// observed is the last observed record; it is assumed unchanged since observedAt.
 	observed   store.Item
 	observedAt time.Time
@@ -223,8 +224,8 @@
 	elector.inFlight.Done()
 }
 
-// Leader returns the ID of the VM that holds the lease according to the last record
-// observed, or "" if none does.
+// Leader returns the ID of the VM that holds the lease according to the last record or
+// heartbeat observed, or "" if none does.
 func (elector *Elector) Leader() string {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
--- a/leader/record.go
+++ b/leader/record.go
@@ -99,8 +99,16 @@
 		return
 	}
 	elector.mu.Lock()
-	elector.knownLeader = current.Leader
-	elector.mu.Unlock()
+	defer elector.mu.Unlock()
+	elector.setKnownLeader(current.Leader, found.Revision)
+}
+
+// setKnownLeader sets the leader by a revision of the record unless a newer one is known.
+// elector.mu must be held.
+func (elector *Elector) setKnownLeader(leader string, revision uint64) {
+	if revision >= elector.knownRevision {
+		elector.knownLeader, elector.knownRevision = leader, revision
+	}
 }
 
 // renew extends the lease and reports whether that was confirmed. The fencing token stays
--- a/leader/sets.go
+++ b/leader/sets.go
@@ -168,7 +168,7 @@
 	return false
 }
 
-// Leader returns the leader of a set according to the last record observed, or "".
+// Leader returns the leader of a set according to the last record or heartbeat observed, or "".
 func (sets *Sets) Leader(set int) string {
 	if elector := sets.elector(set); elector != nil {
 		return elector.Leader()
