--- a/vmrun/quota.go
+++ b/vmrun/quota.go
@@ -209,11 +209,12 @@
 func (teamQuota *teamQuota) leave(formerVM string, request *quota.Request) {
 	answer, ok := teamQuota.ask(formerVM, request)
 	teamQuota.mu.Lock()
-	if teamQuota.isLeaving = false; ok && answer.Home != 0 {
+	defer teamQuota.mu.Unlock()
+	teamQuota.isLeaving = false
+	if ok && answer.Home != 0 {
 		teamQuota.agent.Left(formerVM, request)
+		teamQuota.wake()
 	}
-	teamQuota.mu.Unlock()
-	teamQuota.wake()
 }
 
 func (teamQuota *teamQuota) ask(homeVM string, request *quota.Request) (quota.Answer, bool) {
