vmrun: a VM wakes up for its quotas when the agent has something to do

It looked every 50 ms whether its home had changed; requests look as well, and the agent renews its delegation every 100 ms in a fleet of up to 37 VMs, every 0.8 s in one of 300.

--- a/vmrun/quota.go
+++ b/vmrun/quota.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// quotaCheckInterval is how often a VM whose configuration has teams checks whether it has
-	// to follow another home. It sends nothing for that.
+	// quotaCheckInterval is how often a VM whose configuration has teams checks whether it can
+	// follow a home, or leave a former one.
 	quotaCheckInterval = 50 * time.Millisecond
 	// noTeamsInterval is how often a VM checks whether its configuration has teams.
 	noTeamsInterval = time.Second
@@ -186,10 +186,10 @@
 		go teamQuota.call(teamQuota.agent.Home(), request)
 	}
 	wait := teamQuota.agent.NextStep(now)
-	if wait < 0 {
+	if former, _ := teamQuota.agent.Leaving(now); wait < 0 || former != "" {
 		return quotaCheckInterval
 	}
-	return min(max(wait, time.Millisecond), quotaCheckInterval)
+	return max(wait, time.Millisecond)
 }
 
 // call sends a request to the home and applies its answer.
