--- a/admit/order_test.go
+++ b/admit/order_test.go
@@ -47,14 +47,29 @@
 // than in order of due time alone, and the others are not starved.
 func TestShortAimsWhereRoomIsScarce(t *testing.T) {
 	c := qt.New(t)
-	byAim := overload(func(request admit.Request) admit.Request { return request })
-	byDueTime := overload(func(request admit.Request) admit.Request {
-		request.Aim = 0
-		return request
-	})
-	const short, long = 200, 400
-	c.Check(byAim[short] > byDueTime[short], qt.IsTrue, qt.Commentf("%v, by due time %v", byAim, byDueTime))
-	c.Check(byAim[long] > 0, qt.IsTrue)
+	byAim, byDueTime := overload(byAimAndDueTime), overload(byDueTimeAlone)
+	c.Check(byAim[shortAim] > byDueTime[shortAim], qt.IsTrue, qt.Commentf("%v, by due time %v", byAim, byDueTime))
+	c.Check(byAim[longAim] > 0, qt.IsTrue)
+}
+
+// With the same load, more callers in sum are answered in time, and each class has at least half
+// of its part of the room: 2 of the 2.46 slots that all requests would take.
+func TestMoreInTimeWhereRoomIsScarce(t *testing.T) {
+	c := qt.New(t)
+	byAim, byDueTime := overload(byAimAndDueTime), overload(byDueTimeAlone)
+	c.Check(byAim[shortAim]+byAim[longAim] > byDueTime[shortAim]+byDueTime[longAim], qt.IsTrue, qt.Commentf("%v, by due time %v", byAim, byDueTime))
+	const part = 2 / 2.46 / 2
+	c.Check(float64(byAim[shortAim]) >= 770*part, qt.IsTrue, qt.Commentf("%v", byAim))
+	c.Check(float64(byAim[longAim]) >= 230*part, qt.IsTrue, qt.Commentf("%v", byAim))
+}
+
+const shortAim, longAim = 200, 400
+
+func byAimAndDueTime(request admit.Request) admit.Request { return request }
+
+func byDueTimeAlone(request admit.Request) admit.Request {
+	request.Aim = 0
+	return request
 }
 
 // overload runs the load of TestShortAimsWhereRoomIsScarce with changed requests for 10 s, and
