--- a/remote/clients.go
+++ b/remote/clients.go
@@ -55,7 +55,7 @@
 		clients.mu.Lock()
 		client = clients.clients[vm]
 		clients.mu.Unlock()
-		return false, client != nil && client.hasFailed()
+		return false, client == nil || client.hasFailed()
 	}
 	return client.isConnected(), false
 }
