--- a/quota/agent_test.go
+++ b/quota/agent_test.go
@@ -69,3 +69,49 @@
 	now = now.Add(2 * time.Second)
 	c.Assert(choose(), qt.Equals, "b")
 }
+
+// A VM that moves from home to home brings a grant once in a window: what the buckets of all homes
+// begin with is a part of the reserve.
+func TestNewcomerOnceInWindow(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	agent := quota.NewAgent(quota.DefaultBounds, "vm", 1, rand.Float64, now)
+	agent.SetVMs([]string{"former", "next", "vm"}, true)
+	var newcomers int
+	for range 12 {
+		for _, home := range []string{"former", "next"} {
+			now = now.Add(400 * time.Millisecond)
+			agent.SetHome(home, now)
+			agent.Answered(agent.Step(now), quota.Answer{Home: 1}, now)
+			now = now.Add(100 * time.Millisecond)
+			request := agent.Step(now)
+			c.Assert(request.Delegates, qt.IsTrue)
+			if request.IsNewcomer {
+				newcomers++
+			}
+			agent.Answered(request, quota.Answer{Home: 1}, now)
+		}
+	}
+	// 12 s with moves each half a second.
+	c.Assert(newcomers, qt.Equals, 3)
+}
+
+// A home that stops gives the share back with its answer, so that the VM delegates it to the next
+// home at once.
+func TestStoppingHomeGivesShareBack(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	agent := quota.NewAgent(quota.DefaultBounds, "vm", 1, rand.Float64, now)
+	agent.SetVMs([]string{"former", "next", "vm"}, true)
+	now = now.Add(time.Second)
+	agent.SetHome("former", now)
+	agent.Answered(agent.Step(now), quota.Answer{Home: 1}, now)
+	now = now.Add(20 * time.Millisecond)
+	request := agent.Step(now)
+	c.Assert(request.Delegates, qt.IsTrue)
+	agent.Answered(request, quota.Answer{Home: 1, IsStopping: true}, now)
+	agent.SetHome("next", now)
+	agent.Answered(agent.Step(now), quota.Answer{Home: 2}, now)
+	now = now.Add(20 * time.Millisecond)
+	c.Assert(agent.Step(now).Delegates, qt.IsTrue)
+}
