--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -197,7 +197,7 @@
 // 0.5 s of refusals at most.
 func TestHomeIsLost(t *testing.T) {
 	c := qt.New(t)
-	const seeds, duration = 2, 5 * time.Second
+	const seeds, duration = 4, 5 * time.Second
 	var sum float64
 	for seed := range uint64(seeds) {
 		simulation := newUsualSimulation(seed + 1)
@@ -221,7 +221,7 @@
 // a home, and both serve teams at their usual rates.
 func TestFleetIsSplit(t *testing.T) {
 	c := qt.New(t)
-	const seeds, duration = 2, 7 * time.Second
+	const seeds, duration = 4, 7 * time.Second
 	var sum float64
 	for seed := range uint64(seeds) {
 		simulation := newUsualSimulation(seed + 1)
@@ -243,7 +243,7 @@
 // single token bucket would.
 func TestHomeStops(t *testing.T) {
 	c := qt.New(t)
-	const seeds, duration = 2, 3 * time.Second
+	const seeds, duration = 4, 3 * time.Second
 	var sum float64
 	for seed := range uint64(seeds) {
 		simulation := newUsualSimulation(seed + 1)
