review: case 1, a promotion drops acknowledged commits that only a draining replica has

Cause: promo passes over replicas that are leaving when it chooses the database to promote, and also when it checks whether a commit is missing.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,86 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// slowOrder replaces the primaries of three services by plan, three times, while the platform takes
+// some seconds for each failover call.
+func slowOrder(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
+	services := []string{"ledger", "notices", "levies"}
+	pending := &sync.WaitGroup{}
+	for _, service := range services {
+		world.addGroup(service, 0, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+		world.addRoute("db-"+service, "primary", service, 800, 150, 0, 1)
+	}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	began := time.Now()
+	for _, service := range services {
+		world.consume(24, "db-"+service, "primary", service, 0, 0, 150*time.Millisecond, done, pending)
+		world.consume(5, "db-"+service, "primary", service, 0.6, 0.2, 300*time.Millisecond, done, pending)
+	}
+	for round := range 3 {
+		at := 4 + float64(round)*13
+		world.until(began, at)
+		leaving := make(map[string]*database)
+		for _, service := range services {
+			added := world.groups[service].addDatabase(fmt.Sprintf("i-%s%d", service, 3+round), "attica-d", 5)
+			if err := added.start(); err != nil {
+				return pending, err
+			}
+		}
+		world.until(began, at+2)
+		if trouble {
+			world.note("the platform is slow: it acts on a failover call after 3 s")
+			world.orderDelay.Store(int64(3 * time.Second))
+		}
+		world.until(began, at+3)
+		for _, service := range services {
+			leaving[service] = world.groups[service].lead()
+			leaving[service].drain()
+		}
+		world.until(began, at+11)
+		world.orderDelay.Store(0)
+		world.until(began, at+12)
+		for _, service := range services {
+			leaving[service].crash()
+		}
+	}
+	world.until(began, 48)
+	return pending, nil
+}
+
+// drainedReplica shuts one replica down by plan, while another receives nothing and the primary
+// crashes. The service has syncReplicas.
+func drainedReplica(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
+	group := world.addGroup("ledger", 1, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+	world.addRoute("current", "primary", "ledger", 800, 150, 0, 1)
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	began := time.Now()
+	world.consume(30, "current", "primary", "ledger", 0.35, 0.2, 300*time.Millisecond, done, pending)
+	world.until(began, 4)
+	group.databases[1].drain()
+	if trouble {
+		group.mu.Lock()
+		group.databases[2].isDeaf = true
+		world.note("%s receives nothing", group.databases[2].id)
+		group.mu.Unlock()
+		world.until(began, 7)
+		group.databases[0].crash()
+	}
+	world.until(began, 10)
+	group.mu.Lock()
+	group.databases[2].isDeaf = false
+	group.mu.Unlock()
+	world.until(began, 16)
+	return pending, nil
+}
