review: case 3, a leader restarted after its order issues leases for the old primary

Cause: a replica that is sealed for a higher term confirms the old term to a leader that has just started, which then resumes the replicas and issues leases while the order of its former process is in force.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// slowOrder replaces the primaries of three services by plan, three times, while the platform takes
+// slowOrder replaces the primaries of three services by plan, five times, while the platform takes
 // some seconds for each failover call.
 func slowOrder(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
 	services := []string{"ledger", "notices", "levies"}
@@ -25,7 +25,7 @@
 		world.consume(24, "db-"+service, "primary", service, 0, 0, 150*time.Millisecond, done, pending)
 		world.consume(5, "db-"+service, "primary", service, 0.6, 0.2, 300*time.Millisecond, done, pending)
 	}
-	for round := range 3 {
+	for round := range 5 {
 		at := 4 + float64(round)*13
 		world.until(began, at)
 		leaving := make(map[string]*database)
@@ -52,7 +52,7 @@
 			leaving[service].crash()
 		}
 	}
-	world.until(began, 48)
+	world.until(began, 74)
 	return pending, nil
 }
 
@@ -84,3 +84,44 @@
 	world.until(began, 16)
 	return pending, nil
 }
+
+// killedLeader partitions a primary from two of five VMs, so that the leader has it replaced. The
+// leader's process is killed right after it has given the order, and started again.
+func killedLeader(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
+	group := world.addGroup("ledger", 0, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+	world.addRoute("db-ledger", "primary", "ledger", 800, 150, 0, 1)
+	world.addRoute("db-lookup", "bounded", "ledger", 2000, 500, 1500, 2)
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	began := time.Now()
+	world.consume(40, "db-ledger", "primary", "ledger", 0, 0, 150*time.Millisecond, done, pending)
+	world.consume(8, "db-ledger", "primary", "ledger", 0.6, 0.2, 300*time.Millisecond, done, pending)
+	world.consume(20, "db-lookup", "bounded", "ledger", 0, 0, 200*time.Millisecond, done, pending)
+	for round := range 4 {
+		world.until(began, 4+float64(round)*13)
+		if !trouble {
+			continue
+		}
+		leader := world.leader()
+		var others []string
+		for _, vm := range world.vms {
+			if vm.name != leader && len(others) < 2 {
+				others = append(others, vm.name)
+			}
+		}
+		primary := group.lead()
+		restart := func(holder string) {
+			vm := world.vm(holder)
+			vm.kill()
+			primary.cut()
+			time.Sleep(200 * time.Millisecond)
+			_ = vm.start()
+		}
+		world.onOrder.Store(&restart)
+		primary.cut(others...)
+	}
+	world.until(began, 56)
+	return pending, nil
+}
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -52,8 +52,10 @@
 	// supersededAt is when the database could first reach the primary of a newer term.
 	supersededAt time.Time
 	draining     bool
-	born         int64
-	registered   string
+	// cutFrom has the VMs that are partitioned from the database.
+	cutFrom    map[string]bool
+	born       int64
+	registered string
 }
 
 // promotion is one promotion that has taken effect.
@@ -321,6 +323,7 @@
 
 type session struct {
 	database      *database
+	vm            string
 	conn          net.Conn
 	number        int
 	inTransaction bool
@@ -360,6 +363,10 @@
 		fmt.Fprintf(conn, "ERROR WRONGNODE %s\r\n", database.id)
 		return
 	}
+	session.vm = fields[2]
+	if !session.isConnected() {
+		return
+	}
 	if !database.takeSlot() {
 		fmt.Fprintf(conn, "ERROR BUSY %s\r\n", database.id)
 		return
@@ -377,11 +384,11 @@
 		}
 		keyword, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
 		id, text, _ := strings.Cut(rest, " ")
-		if keyword != "QUERY" {
+		if keyword != "QUERY" || !session.isConnected() {
 			return
 		}
 		answer := session.query(id, text)
-		if answer == "" {
+		if answer == "" || !session.isConnected() {
 			return
 		}
 		if _, err := conn.Write([]byte(answer)); err != nil {
@@ -390,6 +397,34 @@
 	}
 }
 
+// isConnected returns true if the VM of the session is not partitioned from the database. Otherwise
+// it waits until the partition ends, and the connection is closed then.
+func (session *session) isConnected() bool {
+	database, group := session.database, session.database.group
+	wasCut := false
+	for {
+		group.mu.Lock()
+		isCut := database.cutFrom[session.vm]
+		group.mu.Unlock()
+		if !isCut {
+			return !wasCut
+		}
+		wasCut = true
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// cut partitions VMs from the database; without names it ends the partition.
+func (database *database) cut(vms ...string) {
+	database.group.mu.Lock()
+	defer database.group.mu.Unlock()
+	database.cutFrom = make(map[string]bool)
+	for _, vm := range vms {
+		database.cutFrom[vm] = true
+	}
+	database.group.world.note("%s is partitioned from %v", database.id, vms)
+}
+
 // takeSlot waits for a slot; false if the queue is full.
 func (database *database) takeSlot() bool {
 	select {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -82,7 +82,7 @@
 
 type play = func(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error)
 
-var cases = map[string]play{"slow-order": slowOrder, "drained-replica": drainedReplica}
+var cases = map[string]play{"slow-order": slowOrder, "drained-replica": drainedReplica, "killed-leader": killedLeader}
 
 var zones = []string{"attica-a", "attica-b", "attica-c", "attica-d"}
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -36,6 +37,8 @@
 	services     []map[string]any
 	// orderDelay is how long the platform takes before it acts on a failover call.
 	orderDelay atomic.Int64
+	// onOrder is called once with the caller of the next failover call.
+	onOrder atomic.Pointer[func(vm string)]
 
 	mu     sync.Mutex
 	events []string
@@ -263,6 +266,9 @@
 	status := world.groups[body.Service].order(body.ID)
 	world.note("failover call acted on: %s by %s -> %d", body.ID, caller, status)
 	writer.WriteHeader(status)
+	if hook := world.onOrder.Swap(nil); hook != nil {
+		go (*hook)(request.Header.Get("X-Lease-Holder"))
+	}
 }
 
 // addVM adds a VM and writes its settings file.
@@ -343,29 +349,25 @@
 	<-vm.exited
 }
 
-// leads reports whether the VM was the last to take the leadership, by its log.
-func (world *world) leader() *vm {
-	var newest *vm
-	var newestAt string
+// leader returns the name of the VM that holds the leader's record in the store.
+func (world *world) leader() string {
+	items, _, err := world.tree.Range(context.Background(), "bramley/duty/promote", false)
+	if err != nil || len(items) == 0 {
+		return ""
+	}
+	var record struct{ Holder string }
+	_ = json.Unmarshal(items[0].Value, &record)
+	name, _, _ := strings.Cut(record.Holder, "@")
+	return name
+}
+
+func (world *world) vm(name string) *vm {
 	for _, vm := range world.vms {
-		text, err := os.ReadFile(vm.outputPath)
-		if err != nil {
-			continue
-		}
-		for _, line := range strings.Split(string(text), "\n") {
-			var parsed struct {
-				Event int
-				Time  string
-				Token uint64
-			}
-			if json.Unmarshal([]byte(line), &parsed) == nil && parsed.Token > 0 && strings.Contains(line, "\"msg\":\"Leader") || strings.Contains(line, "eadership taken") {
-				if parsed.Time > newestAt {
-					newest, newestAt = vm, parsed.Time
-				}
-			}
+		if vm.name == name {
+			return vm
 		}
 	}
-	return newest
+	return nil
 }
 
 // probe asks the VMs whether they are ready, once a second, like the platform.
