review: case 4, commits between seal and revocation are lost

Cause: promo seals the replicas before it revokes leases, and goes on without a replica that the leader can't reach. Commits that this one acknowledges meanwhile (syncReplicas 1) are not in the log of the promoted one.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -125,3 +125,45 @@
 	world.until(began, 56)
 	return pending, nil
 }
+
+// unsealedReplica partitions a primary and one of its replicas from the leader's VM only. The service
+// has syncReplicas.
+func unsealedReplica(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
+	for _, service := range []string{"ledger", "notices", "levies"} {
+		places := []string{"attica-a", "attica-b", "attica-c"}
+		if service == "levies" {
+			places = append(places, "attica-d") // 10 databases in all
+		}
+		world.addGroup(service, 1, 5, 60, 6*time.Millisecond, 600*time.Millisecond, places)
+		world.addRoute("db-"+service, "primary", service, 800, 150, 0, 1)
+		world.addRoute("lookup-"+service, "bounded", service, 2000, 500, 1500, 2)
+	}
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	leader := world.vm(world.leader())
+	if leader == nil {
+		return pending, fmt.Errorf("there is no leader")
+	}
+	world.fronts = []*vm{leader}
+	for _, vm := range world.vms {
+		if vm != leader && len(world.fronts) < 3 {
+			world.fronts = append(world.fronts, vm)
+		}
+	}
+	began := time.Now()
+	world.consume(24, "db-ledger", "primary", "ledger", 0.35, 0.2, 200*time.Millisecond, done, pending)
+	world.consume(12, "lookup-ledger", "bounded", "ledger", 0, 0, 200*time.Millisecond, done, pending)
+	world.until(began, 12)
+	group := world.groups["ledger"]
+	if trouble {
+		group.databases[0].cut(leader.name)
+		group.databases[2].cut(leader.name)
+	}
+	world.until(began, 17)
+	group.databases[0].cut()
+	group.databases[2].cut()
+	world.until(began, 24)
+	return pending, nil
+}
--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -38,12 +38,17 @@
 	pause    time.Duration
 	// writes and transactions are the shares of operations.
 	writes, transactions float64
+	// fronts are the VMs that the consumer's connections reach; all if it is empty.
+	fronts []*vm
 }
 
 var sessionCount, requestCount atomic.Int64
 
 func (consumer *consumer) connect() bool {
 	front := consumer.world.frontOf(consumer.number)
+	if len(consumer.fronts) > 0 {
+		front = consumer.fronts[consumer.number%len(consumer.fronts)]
+	}
 	conn, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", front.ip, frontPort), 2*time.Second)
 	if err != nil {
 		return false
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -82,7 +82,7 @@
 
 type play = func(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error)
 
-var cases = map[string]play{"slow-order": slowOrder, "drained-replica": drainedReplica, "killed-leader": killedLeader}
+var cases = map[string]play{"slow-order": slowOrder, "drained-replica": drainedReplica, "killed-leader": killedLeader, "unsealed-replica": unsealedReplica}
 
 var zones = []string{"attica-a", "attica-b", "attica-c", "attica-d"}
 
@@ -116,7 +116,7 @@
 		number := int(sessionCount.Add(1))
 		consumer := &consumer{
 			world: world, number: number, host: host, kind: kind, service: service, random: rand.New(rand.NewPCG(uint64(number), 7)),
-			pause: pause, writes: writes, transactions: transactions,
+			pause: pause, writes: writes, transactions: transactions, fronts: world.fronts,
 		}
 		pending.Go(func() { consumer.run(done) })
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -29,12 +29,14 @@
 	tree         *fakekv.Tree
 	groups       map[string]*group
 	vms          []*vm
-	began        time.Time
-	done         chan struct{}
-	version      int
-	txIdleMs     int
-	routes       []map[string]any
-	services     []map[string]any
+	// fronts are the VMs that consumers are forwarded to; all if it is empty.
+	fronts   []*vm
+	began    time.Time
+	done     chan struct{}
+	version  int
+	txIdleMs int
+	routes   []map[string]any
+	services []map[string]any
 	// orderDelay is how long the platform takes before it acts on a failover call.
 	orderDelay atomic.Int64
 	// onOrder is called once with the caller of the next failover call.
