--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -167,3 +167,42 @@
 	world.until(began, 24)
 	return pending, nil
 }
+
+// deafReplica lets one replica receive nothing, and the primary crash meanwhile. The service has
+// syncReplicas.
+func deafReplica(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
+	group := world.addGroup("ledger", 1, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+	world.addRoute("db-ledger", "primary", "ledger", 800, 150, 0, 1)
+	world.addRoute("lookup-ledger", "bounded", "ledger", 2000, 500, 1500, 2)
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	began := time.Now()
+	world.consume(30, "db-ledger", "primary", "ledger", 0.35, 0.2, 300*time.Millisecond, done, pending)
+	world.consume(12, "lookup-ledger", "bounded", "ledger", 0, 0, 200*time.Millisecond, done, pending)
+	world.until(began, 4)
+	deaf := func(isDeaf bool) {
+		group.mu.Lock()
+		defer group.mu.Unlock()
+		group.databases[2].isDeaf = isDeaf
+		world.note("%s receives nothing: %t", group.databases[2].id, isDeaf)
+	}
+	if trouble {
+		deaf(true)
+		world.until(began, 6)
+		group.databases[0].crash()
+	}
+	world.until(began, 10.5) // 6.5 s after the beginning
+	if trouble {
+		deaf(false)
+		world.until(began, 12)
+		if err := group.databases[0].restart(); err != nil {
+			return pending, err
+		}
+	}
+	world.until(began, 20)
+	return pending, nil
+}
+
+func init() { cases["deaf-replica"] = deafReplica }
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"fmt"
 	"net"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,8 +43,10 @@
 	listener          net.Listener
 	conns             map[net.Conn]bool
 
-	isUp     bool
-	isDeaf   bool // receives nothing
+	isUp   bool
+	isDeaf bool // receives nothing
+	// isAlone is set while the database is partitioned from the other databases.
+	isAlone  bool
 	leads    bool
 	term     uint64
 	held     uint64 // PAUSE
@@ -88,6 +92,14 @@
 	proofCount int
 }
 
+// statusIsRefused makes a database refuse STATUS as BUSY while all slots are in use; else STATUS
+// queues like other statements.
+var statusIsRefused = os.Getenv("STATUS") == "busy"
+
+// waitsWithoutSlot makes a commit that waits for a replica give its slot back; else it occupies it
+// until it is answered.
+var waitsWithoutSlot = os.Getenv("WAIT") == "free"
+
 const (
 	networkDelay  = time.Millisecond
 	queueLength   = 24
@@ -151,7 +163,7 @@
 		for database.visible < len(database.log) && !database.visibles[database.visible].After(now) {
 			database.visible++
 		}
-		if primary == nil || database == primary {
+		if primary == nil || database == primary || database.isAlone || primary.isAlone {
 			continue
 		}
 		if database.leads {
@@ -248,7 +260,7 @@
 		group.world.note("promote %s leads term %d with %d commits", id, group.term, len(named.log))
 		if group.sync > 0 {
 			for _, acked := range group.world.ackedCommits() {
-				if !named.has(acked, len(named.log)) {
+				if group.find(acked.database) != nil && !named.has(acked, len(named.log)) && !slices.Contains(group.lostAcked, acked.operation) {
 					group.lostAcked = append(group.lostAcked, acked.operation)
 				}
 			}
@@ -307,6 +319,20 @@
 	return nil
 }
 
+// restart starts the database's process again after a crash, with its log.
+func (database *database) restart() error {
+	group := database.group
+	group.mu.Lock()
+	primary := group.primary()
+	if primary != nil && primary.term > database.term {
+		database.leads = false
+	}
+	database.held = 0
+	group.mu.Unlock()
+	group.world.note("%s starts again", database.id)
+	return database.start()
+}
+
 // crash ends the database's process: connections are reset, and the listener is closed.
 func (database *database) crash() {
 	group := database.group
@@ -332,6 +358,7 @@
 	wrote         bool
 	prepared      map[string]string
 	transaction   string
+	holdsSlot     bool
 }
 
 func (database *database) serve(conn net.Conn) {
@@ -491,7 +518,7 @@
 	}
 	switch word {
 	case "READ", "WRITE", "COMMIT", "STATUS":
-		if !database.takeSlot() {
+		if isFull := len(database.slots) == cap(database.slots); word == "STATUS" && isFull && statusIsRefused || !database.takeSlot() {
 			group.mu.Lock()
 			defer group.mu.Unlock()
 			return session.fail("BUSY")
@@ -501,7 +528,8 @@
 		} else {
 			time.Sleep(group.work)
 		}
-		defer func() { <-database.slots }()
+		session.holdsSlot = true
+		defer session.releaseSlot()
 	}
 	group.mu.Lock()
 	defer group.mu.Unlock()
@@ -578,6 +606,13 @@
 	return session.fail("MALFORMED")
 }
 
+func (session *session) releaseSlot() {
+	if session.holdsSlot {
+		session.holdsSlot = false
+		<-session.database.slots
+	}
+}
+
 func (session *session) ok0() string { return "COMPLETE -\r\n" }
 
 // commit commits, and waits for a replica where the service has syncReplicas.
@@ -585,6 +620,9 @@
 	database, group := session.database, session.database.group
 	committed := database.commit(id)
 	recorded := group.record(session, id, text, committed)
+	if waitsWithoutSlot {
+		session.releaseSlot()
+	}
 	for group.sync > 0 && !database.isReceived(committed) {
 		if !database.isUp || !database.conns[session.conn] || time.Since(committed.at) > 8*time.Second {
 			return ""
