--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -20,6 +21,10 @@
 	firstByteAt, sentAt, answeredAt time.Time
 	code, proof                     string // code is OK, an error's code, or LOST
 	rows                            []string
+	// tenant is the consumer's, executed the statement that a database runs for it, values the
+	// session's values that were acknowledged.
+	tenant, executed string
+	values           map[string]string
 }
 
 // consumer is one consumer, with a session at a time.
@@ -40,6 +45,12 @@
 	writes, transactions float64
 	// fronts are the VMs that the consumer's connections reach; all if it is empty.
 	fronts []*vm
+	// key and tenant are empty without tenants. usesState makes the consumer set values and prepare
+	// statements.
+	key, tenant string
+	usesState   bool
+	values      map[string]string
+	shape       string
 }
 
 var sessionCount, requestCount atomic.Int64
@@ -59,7 +70,12 @@
 	consumer.world.serviceOf[consumer.sessions] = consumer.service
 	consumer.world.mu.Unlock()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	fmt.Fprintf(conn, "STARTUP %s u%d\r\n", consumer.host, consumer.number)
+	key := fmt.Sprintf("u%d", consumer.number)
+	if consumer.key != "" {
+		key = consumer.key
+	}
+	consumer.values, consumer.shape = make(map[string]string), ""
+	fmt.Fprintf(conn, "STARTUP %s %s\r\n", consumer.host, key)
 	line, err := consumer.reader.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "READY I") {
 		consumer.close()
@@ -93,6 +109,10 @@
 
 func (consumer *consumer) operate() {
 	now := time.Now()
+	if consumer.usesState && consumer.random.IntN(6) == 0 {
+		consumer.changeState(now)
+		return
+	}
 	switch draw := consumer.random.Float64(); {
 	case draw < consumer.writes:
 		consumer.ask("write", consumer.write(), "", now, 2500)
@@ -112,11 +132,31 @@
 		if answer := consumer.ask("commit", "COMMIT", begin.id, now, 2500); answer.code != "OK" {
 			consumer.close()
 		}
+	case consumer.shape != "" && consumer.random.IntN(2) == 0:
+		item := fmt.Sprintf("%x", consumer.random.IntN(2000))
+		consumer.askAs("read", "EXECUTE s1 "+item, "READ "+consumer.shape+" "+item, "", now, 2500)
 	default:
 		consumer.ask("read", fmt.Sprintf("READ %x", consumer.random.IntN(2000)), "", now, 2500)
 	}
 }
 
+// changeState sets a value or prepares a statement, whose names collide between consumers.
+func (consumer *consumer) changeState(now time.Time) {
+	if consumer.random.IntN(2) == 0 {
+		name, value := fmt.Sprintf("v%d", consumer.random.IntN(2)), fmt.Sprint(consumer.random.IntN(50))
+		if consumer.ask("set", "SET "+name+" "+value, "", now, 2500).code == "OK" {
+			values := maps.Clone(consumer.values)
+			values[name] = value
+			consumer.values = values
+		}
+		return
+	}
+	shape := fmt.Sprintf("q%d", consumer.random.IntN(40))
+	if consumer.ask("prepare", "PREPARE s1 READ "+shape, "", now, 2500).code == "OK" {
+		consumer.shape = shape
+	}
+}
+
 func (consumer *consumer) write() string {
 	return fmt.Sprintf("WRITE %x w%d", consumer.random.IntN(2000), requestCount.Load())
 }
@@ -129,10 +169,15 @@
 
 // ask sends a statement and records it and its answer.
 func (consumer *consumer) ask(kind, text, transaction string, firstByteAt time.Time, timeoutMs int) *operation {
+	return consumer.askAs(kind, text, text, transaction, firstByteAt, timeoutMs)
+}
+
+func (consumer *consumer) askAs(kind, text, executed, transaction string, firstByteAt time.Time, timeoutMs int) *operation {
 	world := consumer.world
 	asked := &operation{
 		id: fmt.Sprintf("%016x", requestCount.Add(1)), kind: kind, text: text, route: consumer.kind, transaction: transaction,
 		vm: consumer.vm.name, session: consumer.sessions, firstByteAt: firstByteAt, sentAt: time.Now(), code: "LOST",
+		tenant: consumer.tenant, executed: executed, values: consumer.values,
 	}
 	if transaction == "" {
 		asked.firstByteAt = asked.sentAt
@@ -216,23 +261,30 @@
 }
 
 // lackedBy returns the commits that a read had to see and that the database's log lacks. On a
-// primary route these are all commits that were acknowledged before the first byte of the read.
-func (world *world) lackedBy(database *database, id string, _ *session) []*entry {
+// primary route these are all commits that were acknowledged before the first byte of the read, on
+// a bounded route those acknowledged more than its staleness before that.
+func (world *world) lackedBy(database *database, id string) []*entry {
 	world.mu.Lock()
 	defer world.mu.Unlock()
 	asked := world.operations[id]
-	if asked == nil || asked.kind != "read" || asked.route != "primary" {
+	if asked == nil || asked.kind != "read" {
 		return nil
 	}
+	before, count := asked.firstByteAt, len(database.log)
+	if asked.route == "bounded" {
+		before, count = before.Add(-staleness), database.visible
+	}
 	var lacked []*entry
-	for i := len(world.acked) - 1; i >= max(0, len(world.acked)-400); i-- {
+	for i := len(world.acked) - 1; i >= max(0, len(world.acked)-600); i-- {
 		acked := world.acked[i]
-		if database.group.find(acked.database) == nil || !world.ackedAt[acked].Before(asked.firstByteAt) {
+		if database.group.find(acked.database) == nil || !world.ackedAt[acked].Before(before) {
 			continue
 		}
-		if !database.has(acked, len(database.log)) {
+		if !database.has(acked, count) {
 			lacked = append(lacked, acked)
 		}
 	}
 	return lacked
 }
+
+const staleness = 1500 * time.Millisecond
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -30,6 +31,8 @@
 	at                        time.Time
 	committed                 *entry
 	rows                      []string
+	who, transaction          string
+	values                    map[string]string
 	// lacked has acknowledged commits that the log lacked at a read.
 	lacked []*entry
 }
@@ -357,6 +360,7 @@
 	isFailed      bool
 	wrote         bool
 	prepared      map[string]string
+	values        map[string]string
 	transaction   string
 	holdsSlot     bool
 }
@@ -372,7 +376,7 @@
 	}
 	database.conns[conn] = true
 	group.connCount++
-	session := &session{database: database, conn: conn, number: group.connCount, prepared: make(map[string]string)}
+	session := &session{database: database, conn: conn, number: group.connCount, prepared: make(map[string]string), values: make(map[string]string)}
 	group.mu.Unlock()
 	defer func() {
 		_ = conn.Close()
@@ -514,7 +518,10 @@
 			defer group.mu.Unlock()
 			return session.fail("NOSTMT")
 		}
-		word, arguments = definition, values
+		var shape string
+		word, shape, _ = strings.Cut(definition, " ")
+		arguments = shape + " " + values
+		text = word + " " + arguments
 	}
 	switch word {
 	case "READ", "WRITE", "COMMIT", "STATUS":
@@ -553,12 +560,15 @@
 		return "DATAROW " + database.status() + "\r\n" + session.ok0() + session.ready()
 	case "RESET":
 		clear(session.prepared)
+		clear(session.values)
 		return session.ok()
 	case "SET":
+		name, value, _ := strings.Cut(arguments, " ")
+		session.values[name] = value
 		return session.ok()
 	case "PREPARE":
-		fields := strings.Fields(arguments)
-		session.prepared[fields[0]] = fields[1]
+		name, definition, _ := strings.Cut(arguments, " ")
+		session.prepared[name] = definition
 		return session.ok()
 	case "ROLLBACK":
 		session.inTransaction, session.isFailed, session.wrote, session.readOnly = false, false, false, false
@@ -651,11 +661,14 @@
 	database := session.database
 	recorded := &run{
 		id: id, text: text, database: database.id, proof: fmt.Sprintf("p%d.%s", group.proofCount, database.id), conn: session.number,
-		term: database.term, at: time.Now(), committed: committed,
+		term: database.term, at: time.Now(), committed: committed, who: session.vm, values: maps.Clone(session.values),
+	}
+	if session.inTransaction || strings.HasPrefix(text, "COMMIT") {
+		recorded.transaction = session.transaction
 	}
 	if strings.HasPrefix(text, "READ") || strings.HasPrefix(text, "EXECUTE") {
 		recorded.rows = []string{fmt.Sprintf("row%d.%d", database.term, database.visible)}
-		recorded.lacked = group.world.lackedBy(database, id, session)
+		recorded.lacked = group.world.lackedBy(database, id)
 	}
 	group.runs = append(group.runs, recorded)
 	return recorded
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -116,7 +117,11 @@
 		number := int(sessionCount.Add(1))
 		consumer := &consumer{
 			world: world, number: number, host: host, kind: kind, service: service, random: rand.New(rand.NewPCG(uint64(number), 7)),
-			pause: pause, writes: writes, transactions: transactions, fronts: world.fronts,
+			pause: pause, writes: writes, transactions: transactions, fronts: world.fronts, usesState: world.usesState,
+		}
+		if world.tenants > 0 {
+			tenant := number % world.tenants
+			consumer.key, consumer.tenant = fmt.Sprintf("key%d", tenant), fmt.Sprintf("team%d", tenant)
 		}
 		pending.Go(func() { consumer.run(done) })
 	}
@@ -169,6 +174,7 @@
 				}
 			}
 		}
+		findings = append(findings, world.judgeSessions(group)...)
 		for id, runs := range runsByID {
 			asked := world.operations[id]
 			if asked == nil {
@@ -188,7 +194,7 @@
 			}
 		}
 		for _, operation := range world.all {
-			if operation.code != "OK" || operation.kind == "begin" || operation.kind == "rollback" {
+			if operation.code != "OK" || slices.Contains([]string{"begin", "rollback", "set", "prepare"}, operation.kind) {
 				continue
 			}
 			runs := runsByID[operation.id]
@@ -220,6 +226,37 @@
 	return findings, summary + strings.Join(parts, ", ") + fmt.Sprintf("; broken: %v", byRule)
 }
 
+// judgeSessions checks PINNED, and UNASKED as far as texts and tenants are concerned.
+func (world *world) judgeSessions(group *group) (findings []string) {
+	add := func(format string, arguments ...any) { findings = append(findings, fmt.Sprintf(format, arguments...)) }
+	connOf := make(map[string]int)
+	for _, run := range group.runs {
+		asked := world.operations[run.id]
+		if asked == nil {
+			continue
+		}
+		if run.text != asked.executed {
+			add("UNASKED %s was %q, but %s ran %q", asked.id, asked.executed, run.database, run.text)
+		}
+		if asked.tenant != "" && run.who != asked.tenant {
+			add("UNASKED %s of tenant %s ran at %s as %s", asked.id, asked.tenant, run.database, run.who)
+		}
+		if !maps.Equal(run.values, asked.values) {
+			add("PINNED %s %s ran at %s with values %v, its session has %v", asked.kind, asked.id, run.database, run.values, asked.values)
+		}
+		if asked.transaction != run.transaction {
+			add("PINNED %s %s of transaction %q ran at %s in transaction %q", asked.kind, asked.id, asked.transaction, run.database, run.transaction)
+		}
+		if first, ok := connOf[asked.transaction]; asked.transaction != "" && ok && first != run.conn {
+			add("PINNED %s %s of transaction %q ran on another connection", asked.kind, asked.id, asked.transaction)
+		}
+		if asked.transaction != "" {
+			connOf[asked.transaction] = run.conn
+		}
+	}
+	return findings
+}
+
 // write writes record.txt: events, findings, then what was sent, answered and run.
 func (world *world) write(path string, findings []string, summary string) error {
 	var text strings.Builder
--- a/review/standin/random.go
+++ b/review/standin/random.go
@@ -25,6 +25,10 @@
 		world.addRoute("lookup-"+service, "bounded", service, 2000, 500, 1500, 2)
 	}
 	pending := &sync.WaitGroup{}
+	world.usesState = true
+	if os.Getenv("TENANTS") != "" {
+		world.tenants = 7
+	}
 	if err := world.begin(); err != nil {
 		return pending, err
 	}
@@ -154,3 +158,52 @@
 }
 
 func init() { cases["random"] = random }
+
+// roll stops and starts the VMs in turn, by plan only; it is no case.
+func roll(world *world, _ bool, done chan struct{}) (*sync.WaitGroup, error) {
+	services := []string{"ledger", "notices"}
+	for _, service := range services {
+		world.addGroup(service, 0, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+		world.addRoute("db-"+service, "primary", service, 800, 150, 0, 1)
+		world.addRoute("lookup-"+service, "bounded", service, 2000, 500, 1500, 2)
+	}
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	began := time.Now()
+	for _, service := range services {
+		world.consume(40, "db-"+service, "primary", service, 0.25, 0.25, 100*time.Millisecond, done, pending)
+		world.consume(20, "lookup-"+service, "bounded", service, 0, 0, 60*time.Millisecond, done, pending)
+	}
+	for i, vm := range world.vms {
+		world.until(began, 4+float64(i)*9)
+		vm.signal(syscall.SIGTERM)
+		if i == 1 || i == 3 {
+			group := world.groups[services[i%2]]
+			added := group.addDatabase(fmt.Sprintf("i-%s%d", group.service, 10+i), "attica-d", 5)
+			_ = added.start()
+			time.Sleep(500 * time.Millisecond)
+			group.lead().drain()
+		}
+		select {
+		case <-vm.exited:
+		case <-time.After(6 * time.Second):
+			world.note("%s needed SIGKILL", vm.name)
+			vm.kill()
+		}
+		time.Sleep(300 * time.Millisecond)
+		_ = vm.start()
+	}
+	world.until(began, 52)
+	world.mu.Lock()
+	for _, operation := range world.all {
+		if operation.code == "LOST" {
+			fmt.Println(world.at(operation.sentAt), operation.vm, operation.kind, operation.id, "ended", world.at(operation.answeredAt))
+		}
+	}
+	world.mu.Unlock()
+	return pending, nil
+}
+
+func init() { cases["roll"] = roll }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -30,13 +30,16 @@
 	groups       map[string]*group
 	vms          []*vm
 	// fronts are the VMs that consumers are forwarded to; all if it is empty.
-	fronts   []*vm
-	began    time.Time
-	done     chan struct{}
-	version  int
-	txIdleMs int
-	routes   []map[string]any
-	services []map[string]any
+	fronts []*vm
+	// tenants is the number of tenants, usesState makes consumers set values.
+	tenants   int
+	usesState bool
+	began     time.Time
+	done      chan struct{}
+	version   int
+	txIdleMs  int
+	routes    []map[string]any
+	services  []map[string]any
 	// orderDelay is how long the platform takes before it acts on a failover call.
 	orderDelay atomic.Int64
 	// onOrder is called once with the caller of the next failover call.
@@ -165,9 +168,19 @@
 // configure writes the next desired state.
 func (world *world) configure() {
 	world.version += 3
-	text, _ := json.Marshal(map[string]any{
+	state := map[string]any{
 		"version": world.version, "routes": world.routes, "services": world.services, "limits": map[string]any{"txIdleMs": world.txIdleMs},
-	})
+	}
+	if world.tenants > 0 {
+		var tenants []map[string]any
+		for i := range world.tenants {
+			tenants = append(tenants, map[string]any{
+				"name": fmt.Sprintf("team%d", i), "apiKeys": []string{fmt.Sprintf("key%d", i)}, "ratePerS": 10000, "burst": 10000,
+			})
+		}
+		state["tenants"] = tenants
+	}
+	text, _ := json.Marshal(state)
 	world.tree.Set("op/config", text)
 	world.note("operator wrote desired state %d", world.version)
 }
