--- a/review/standin/random.go
+++ b/review/standin/random.go
@@ -207,3 +207,33 @@
 }
 
 func init() { cases["roll"] = roll }
+
+// setInTransaction sets a value between a transaction's last statement and its COMMIT; it is no
+// case, since there is no disruption.
+func setInTransaction(world *world, _ bool, _ chan struct{}) (*sync.WaitGroup, error) {
+	world.addGroup("ledger", 0, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+	world.addRoute("db-ledger", "primary", "ledger", 800, 150, 0, 1)
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	consumer := &consumer{
+		world: world, number: 1, host: "db-ledger", kind: "primary", service: "ledger", random: rand.New(rand.NewPCG(1, 7)),
+	}
+	for i := range 20 {
+		if consumer.conn == nil && !consumer.connect() {
+			continue
+		}
+		now := time.Now()
+		begin := consumer.ask("begin", "BEGIN", "", now, 2500)
+		consumer.ask("txwrite", consumer.write(), begin.id, now, 2500)
+		if consumer.ask("set", fmt.Sprintf("SET v1 %d", i), "", now, 2500).code == "OK" {
+			consumer.values = map[string]string{"v1": fmt.Sprint(i)}
+		}
+		consumer.ask("commit", "COMMIT", begin.id, now, 2500)
+	}
+	consumer.close()
+	return pending, nil
+}
+
+func init() { cases["set-in-transaction"] = setInTransaction }
