--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -44,6 +44,8 @@
 	orderDelay atomic.Int64
 	// onOrder is called once with the caller of the next failover call.
 	onOrder atomic.Pointer[func(vm string)]
+	// onArrival is the same, before the platform acts on the call.
+	onArrival atomic.Pointer[func(vm string)]
 
 	mu     sync.Mutex
 	events []string
@@ -275,6 +277,9 @@
 	}
 	caller := request.Header.Get("X-Lease-Holder") + " token " + request.Header.Get("X-Fencing-Token")
 	world.note("failover call arrives: %s by %s", body.ID, caller)
+	if hook := world.onArrival.Swap(nil); hook != nil {
+		go (*hook)(request.Header.Get("X-Lease-Holder"))
+	}
 	if delay := time.Duration(world.orderDelay.Load()); delay > 0 {
 		time.Sleep(delay)
 	}
