--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,7 +38,6 @@
 			os.Exit(exitFailed)
 		}
 		dir = made
-		defer func() { _ = os.RemoveAll(made) }()
 	}
 	path, err := filepath.Abs(*program)
 	if err != nil {
@@ -59,6 +58,9 @@
 	if err != nil {
 		world.stop()
 		fmt.Println(err)
+		if *keep == "" {
+			_ = os.RemoveAll(dir)
+		}
 		os.Exit(exitFailed)
 	}
 	close(done)
@@ -95,7 +97,11 @@
 		return err
 	}
 	world.configure()
-	for _, zone := range []string{"attica-a", "attica-a", "attica-b", "attica-c", "attica-d"} {
+	places := []string{"attica-a", "attica-a", "attica-b", "attica-c", "attica-d"}
+	for _, zone := range places {
+		if world.isOneZone {
+			zone = places[0]
+		}
 		if err := world.addVM(zone, zones); err != nil {
 			return err
 		}
--- a/review/standin/random.go
+++ b/review/standin/random.go
@@ -19,8 +19,12 @@
 	seed, _ := strconv.Atoi(os.Getenv("SEED"))
 	random := rand.New(rand.NewPCG(uint64(seed), 11))
 	services := []string{"ledger", "notices"}
+	conns := 60
+	if os.Getenv("SCARCE") != "" {
+		conns, world.isOneZone = 9, true
+	}
 	for i, service := range services {
-		world.addGroup(service, (seed+i)%2, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+		world.addGroup(service, (seed+i)%2, 5, conns, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
 		world.addRoute("db-"+service, "primary", service, 800, 150, 0, 1)
 		world.addRoute("lookup-"+service, "bounded", service, 2000, 500, 1500, 2)
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -34,6 +34,8 @@
 	// tenants is the number of tenants, usesState makes consumers set values.
 	tenants   int
 	usesState bool
+	// isOneZone puts all VMs into one zone, where few of them route a group if connections are scarce.
+	isOneZone bool
 	began     time.Time
 	done      chan struct{}
 	version   int
