review: the stand-ins move to review/platform

Cause: TestWireWordsOnlyInThisPackage allows the words of the wire only in folders of that name; it failed in a fresh clone.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -tags review -o target/review-standin ./review/standin
+go build -tags review -o target/review-standin ./review/platform
