--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -81,7 +81,15 @@
 	group.mu.Lock()
 	group.databases[2].isDeaf = false
 	group.mu.Unlock()
-	world.until(began, 16)
+	world.until(began, 13)
+	if trouble {
+		if err := group.databases[0].restart(); err != nil {
+			return pending, err
+		}
+	}
+	world.until(began, 14)
+	group.databases[1].crash() // it ends, as planned
+	world.until(began, 17)
 	return pending, nil
 }
 
--- a/review/platform/entries.go
+++ b/review/platform/entries.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -237,3 +239,53 @@
 		lookups = count
 	}
 }
+
+// malformed sends malformed input to the VMs from consumers, to their peer ports and by registrations
+// of another writer, beside usual traffic (issue 20, point 3).
+func malformed(world *world, trouble bool, done chan struct{}) (*sync.WaitGroup, error) {
+	world.addGroup("ledger", 0, 5, 60, 6*time.Millisecond, 600*time.Millisecond, []string{"attica-a", "attica-b", "attica-c"})
+	world.addRoute("db-ledger", "primary", "ledger", 800, 150, 0, 1)
+	world.usesState = true
+	pending := &sync.WaitGroup{}
+	if err := world.begin(); err != nil {
+		return pending, err
+	}
+	began := time.Now()
+	world.consume(30, "db-ledger", "primary", "ledger", 0.3, 0.2, 100*time.Millisecond, done, pending)
+	random := rand.New(rand.NewPCG(1, 13))
+	pieces := []string{
+		"STARTUP", "STARTUP db-ledger u1\r\n", "QUERY", "QUERY x\r\n", "QUERY x EXECUTE\r\n", "QUERY x SET\r\n", "QUERY x PREPARE s1\r\n",
+		"QUERY x BEGIN WRITE\r\n", "QUERY - STATUS\r\n", "QUERY - PAUSE 9\r\n", "READY I 1.1\r\n", "\r\n", "\x00\xff\xfe", "QUERY x COMMIT\r\n",
+		"QUERY x BEGIN\r\n", "QUERY x CLOSE\r\n", "QUERY x ROLLBACK\r\n", "GET / HTTP/1.1\r\n\r\n", strings.Repeat("x", 1<<20), "\n",
+	}
+	values := []string{
+		"", "{", "null", "[]", "\xff\x00", `{"service":1}`, `{"service":"ledger"}`, `{"service":"ledger","address":"x","zone":"a","slots":1,"state":"ready"}`,
+		`{"service":"ledger","address":"127.0.0.1:1","zone":"a","slots":-1,"state":"ready"}`, `{"service":"ledger","address":"127.0.0.1:1","zone":"a","slots":1,"state":"odd"}`,
+		`{"service":"nowhere","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready"}`, `{"service":"ledger","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1.5}`,
+	}
+	for round := 0; trouble && time.Since(began) < 30*time.Second; round++ {
+		vm := world.vms[random.IntN(len(world.vms))]
+		port := []int{frontPort, frontPort, frontPort, internalPort, readyPort}[random.IntN(5)]
+		if conn, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", vm.ip, port), time.Second); err == nil {
+			_ = conn.SetDeadline(time.Now().Add(200 * time.Millisecond))
+			for range 1 + random.IntN(8) {
+				_, _ = conn.Write([]byte(pieces[random.IntN(len(pieces))]))
+			}
+			_ = conn.Close()
+		}
+		if conn, err := net.Dial("udp4", net.JoinHostPort(vm.ip, strconv.Itoa(internalPort))); err == nil {
+			packet := make([]byte, random.IntN(1400))
+			for i := range packet {
+				packet[i] = byte(random.IntN(256))
+			}
+			_, _ = conn.Write(packet)
+			_ = conn.Close()
+		}
+		world.tree.Set(fmt.Sprintf("servers/other%d", random.IntN(6)), []byte(values[random.IntN(len(values))]))
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	return pending, nil
+}
+
+func init() { cases["malformed"] = malformed }
