--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -260,7 +260,8 @@
 // recordReplicaReport uses a replica's report: it adopts a newer term, or extends
 // the lease if the report may stand in for one.
 func (group *Group) recordReplicaReport(report Report, requestedAt time.Time) {
-	if report.Term == group.term {
+	if report.Term == group.term && report.SealedTerm <= group.term {
+		// A replica that is sealed for a higher term may be about to become its primary.
 		group.confirmedTerm = group.term
 	}
 	if report.Term > group.term && report.SealedTerm == 0 {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -254,6 +254,7 @@
 		go func() {
 			time.Sleep(50 * time.Millisecond)
 			_ = fixture.upstream.Promote(c.Context(), promo.Order{Member: "b"})
+			time.Sleep(fixture.upstream.PromotionDuration)
 			fixture.group.AcceptLease(dbset.Lease{Token: 1, Term: 2, Primary: "b"}, time.Now())
 		}()
 		c.Assert(caller.Ask(write, "WRITE x 1").Code, qt.Equals, proto.OK)
--- a/event/event.go
+++ b/event/event.go
@@ -45,6 +45,8 @@
 	LeadershipLost      ID = 3008
 	ReplicaUnsealed     ID = 3010
 	GroupState          ID = 3011
+	OrderUnsettled      ID = 3012
+	OrderSettled        ID = 3013
 	ConfigApplied       ID = 4001
 	ConfigRefused       ID = 4002
 	StoreFailing        ID = 4003
@@ -105,6 +107,8 @@
 	{LeadershipLost, logrus.WarnLevel, "Duty lost", "This VM no longer orders promotions. The reason is lapsed if its record in the store was not renewed in time, unreadable if the record can't be decoded, released after a planned stop, or else the VM that replaced it.", []string{"token", "reason", "set"}, "0.2"},
 	{ReplicaUnsealed, logrus.InfoLevel, "Replica unsealed", "The seal of a replica was removed, since no promotion followed it.", []string{"group", "slot"}, "0.2"},
 	{GroupState, logrus.InfoLevel, "State of a group", "This VM's view of a group. Slots gives role/latency/under way/failures/lag of each database: latency and lag in ms, requests in progress, and consecutive failures. Links gives open/idle/limit/waiting of each database: open and idle connections, the limit of concurrent requests, and queued requests. Routes counts the reads so far by routing reason.", []string{"group", "term", "slots", "links", "routes"}, "0.2"},
+	{OrderUnsettled, logrus.WarnLevel, "Order unsettled", "The outcome of an order to promote a database (slot) is unknown, so it may still take effect, and the group has no leases until it has. The leader sends it again; reason is noAnswer, or predecessor if a former leader sent it. Check the platform's failover service if this lasts.", []string{"group", "term", "slot", "reason", "error"}, "0.2"},
+	{OrderSettled, logrus.InfoLevel, "Order settled", "An unsettled order has taken effect, or its database is gone.", []string{"group", "term", "slot", "primary"}, "0.2"},
 	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket was applied on this VM.", []string{"number", "ticket"}, "0.1"},
 	{ConfigRefused, logrus.ErrorLevel, "Configuration refused", "A ticket in the store can't be applied; the VM keeps the previous configuration. Submit a ticket that corrects it.", []string{"number", "error"}, "0.1"},
 	{StoreFailing, logrus.WarnLevel, "Store failing", "Calls to the platform's store fail. Everything but the acceptance of tickets continues to work.", []string{"error"}, "0.1"},
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -5,7 +5,6 @@
 package fakeup
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"os"
@@ -51,10 +50,18 @@
 	BusyRefusals int
 	// MaxConnections is the limit of open connections; zero is no limit.
 	MaxConnections int
+	// Slots is how many requests the database runs at a time; zero is no limit. Requests for a
+	// report and new connections need a slot too.
+	Slots int
 	// Opened counts all connections opened so far, Open those open now.
 	Opened, Open int
 
-	log []logEntry
+	// term is the term that the database is in; it leads that term if leads is set.
+	term  uint64
+	leads bool
+	// busy counts the slots in use.
+	busy int
+	log  []logEntry
 	// sealedTerm is the term of the seal; 0 is none.
 	sealedTerm uint64
 }
@@ -93,24 +100,36 @@
 	Primary string
 	Start   posn.Position
 	At      time.Time
+	// Lost has the texts of the statements whose commits the primary's log lacks. It is set with
+	// SyncReplicas only.
+	Lost []string
 }
 
 // Upstream is a fake upstream with one group of databases.
 type Upstream struct {
 	Name string
-	// PromotionDuration is the duration of a promotion.
+	// PromotionDuration is the time from an order until it takes effect.
 	PromotionDuration time.Duration
+	// OrderDelay is the time until the platform acts on an order, and answers. It acts also if
+	// the caller has given up.
+	OrderDelay time.Duration
+	// SyncReplicas is how many replicas must have received a commit before it is answered: 0 or 1.
+	SyncReplicas int
+	// OnOrder is called with each order that the platform accepts, before it answers.
+	OnOrder func(order promo.Order)
 
 	mu sync.Mutex
 	// term and primary are the newest term and its primary; no primary is empty.
 	term    uint64
 	primary string
-	// formerPrimaries has the term that each former primary still leads.
-	formerPrimaries map[string]uint64
-	databases       map[string]*Database
-	runs            []Run
-	orders          []promo.Order
-	terms           []Term
+	// target is the database that the last accepted order named, or the first primary.
+	target string
+	// source is the last primary; after its demotion it still sends what it has committed.
+	source    string
+	databases map[string]*Database
+	runs      []Run
+	orders    []promo.Order
+	terms     []Term
 	// connCount and transactionCount number the connections and transactions.
 	connCount, transactionCount int
 }
@@ -118,12 +137,12 @@
 // New returns an upstream with databases a, b and c, of which a is the primary of term 1.
 func New(name string) *Upstream {
 	upstream := &Upstream{
-		Name: name, PromotionDuration: 300 * time.Millisecond, term: 1, primary: "a",
-		formerPrimaries: make(map[string]uint64), databases: make(map[string]*Database),
+		Name: name, PromotionDuration: 300 * time.Millisecond, term: 1, primary: "a", target: "a", source: "a",
+		databases: make(map[string]*Database),
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		upstream.databases[id] = &Database{
-			ID: id, Lag: 20 * time.Millisecond, StatementDuration: 5 * time.Millisecond,
+			ID: id, Lag: 20 * time.Millisecond, StatementDuration: 5 * time.Millisecond, term: 1, leads: id == "a",
 			log: []logEntry{{position: posn.Position{Term: 1, LSN: 1}}},
 		}
 	}
@@ -134,7 +153,9 @@
 func (upstream *Upstream) Do(id string, change func(*Database)) {
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
+	upstream.replicate()
 	change(upstream.databases[id])
+	upstream.replicate()
 }
 
 // Members returns the databases as their registrations describe them.
@@ -165,25 +186,6 @@
 	return slices.Clone(upstream.terms)
 }
 
-// Rejoin makes a former primary a replica of the newest term, as when it has connected
-// to the new primary. Commits that only it had are rolled back.
-func (upstream *Upstream) Rejoin(id string) {
-	upstream.mu.Lock()
-	defer upstream.mu.Unlock()
-	upstream.rejoin(id)
-}
-
-// rejoin implements Rejoin. mu must be held.
-func (upstream *Upstream) rejoin(id string) {
-	if _, ok := upstream.formerPrimaries[id]; !ok {
-		return
-	}
-	delete(upstream.formerPrimaries, id)
-	if primary, ok := upstream.databases[upstream.primary]; ok {
-		upstream.databases[id].log, upstream.databases[id].sealedTerm = slices.Clone(primary.log), 0
-	}
-}
-
 // Orders returns the promotion orders received so far.
 func (upstream *Upstream) Orders() []promo.Order {
 	upstream.mu.Lock()
@@ -198,53 +200,6 @@
 	return upstream.primary
 }
 
-// Promote makes a database the primary of the next term after PromotionDuration. The former
-// primary keeps its own term and accepts writes until it is demoted or rejoins. A database
-// that is unknown, unresponsive or down gives promo.ErrRefused. For the present primary
-// the order has no effect.
-func (upstream *Upstream) Promote(_ context.Context, order promo.Order) error {
-	time.Sleep(upstream.PromotionDuration)
-	upstream.mu.Lock()
-	defer upstream.mu.Unlock()
-	upstream.orders = append(upstream.orders, order)
-	promoted, ok := upstream.databases[order.Member]
-	if !ok || promoted.IsUnresponsive || promoted.IsDown {
-		return promo.ErrRefused
-	}
-	if order.Member == upstream.primary {
-		return nil
-	}
-	upstream.formerPrimaries[upstream.primary] = upstream.term
-	delete(upstream.formerPrimaries, order.Member)
-	upstream.term++
-	upstream.primary = order.Member
-	promoted.sealedTerm = 0
-	upstream.terms = append(upstream.terms, Term{
-		Number: upstream.term, Primary: order.Member, Start: promoted.log[len(promoted.log)-1].position, At: time.Now(),
-	})
-	for _, other := range upstream.databases {
-		if _, ok := upstream.formerPrimaries[other.ID]; !ok && other != promoted {
-			other.log, other.sealedTerm = slices.Clone(promoted.log), 0
-		}
-	}
-	return nil
-}
-
-// isLeading reports whether a database accepts writes: it is the primary of the newest
-// term or a former primary.
-func (upstream *Upstream) isLeading(id string) bool {
-	_, isFormer := upstream.formerPrimaries[id]
-	return id == upstream.primary || isFormer
-}
-
-// termOf returns the term that a database is in.
-func (upstream *Upstream) termOf(id string) uint64 {
-	if term, ok := upstream.formerPrimaries[id]; ok {
-		return term
-	}
-	return upstream.term
-}
-
 // Position returns the position of the newest commit that the database shows.
 func (database *Database) Position() posn.Position {
 	var position posn.Position
@@ -257,22 +212,6 @@
 	return position
 }
 
-// appendCommit adds a commit to the log of a leading database. Only the primary of the
-// newest term replicates it.
-func (upstream *Upstream) appendCommit(id string) posn.Position {
-	database := upstream.databases[id]
-	now := time.Now()
-	position := posn.Position{Term: upstream.termOf(id), LSN: database.log[len(database.log)-1].position.LSN + 1}
-	database.log = append(database.log, logEntry{position: position, visibleAt: now})
-	for _, other := range upstream.databases {
-		if id != upstream.primary || other == database || upstream.isLeading(other.ID) || other.IsReplicationStopped || other.IsUnresponsive || other.IsDown || other.sealedTerm > 0 {
-			continue
-		}
-		other.log = append(other.log, logEntry{position: position, visibleAt: now.Add(other.Lag)})
-	}
-	return position
-}
-
 // DialerFrom returns a dialer that opens connections from the named VM.
 func (upstream *Upstream) DialerFrom(vm string) proto.Dialer { return dialer{upstream, vm} }
 
@@ -282,6 +221,7 @@
 	vm       string
 }
 
+// Dial implements proto.Dialer.
 func (dialer dialer) Dial(member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
 	return dialer.upstream.dial(dialer.vm, member, team, timeout)
 }
@@ -303,7 +243,11 @@
 		time.Sleep(timeout)
 		upstream.mu.Lock()
 		return nil, proto.Answer{}, os.ErrDeadlineExceeded
-	case database.MaxConnections > 0 && database.Open >= database.MaxConnections:
+	case !database.takeSlot(upstream, timeout):
+		return nil, proto.Answer{}, os.ErrDeadlineExceeded
+	}
+	database.busy--
+	if database.MaxConnections > 0 && database.Open >= database.MaxConnections {
 		return nil, proto.Answer{Code: proto.Full}, nil
 	}
 	database.Open++
@@ -327,6 +271,8 @@
 	isClosed  bool
 	// transaction is the number of the open transaction; zero is none.
 	transaction int
+	// committed is the position of the commit that the present request has made.
+	committed posn.Position
 }
 
 // IsAlive reports whether the connection is open and its database is not down.
@@ -349,26 +295,37 @@
 // Ask runs a request. proto.ErrLost means that the database did not answer, or that
 // AnswersToLose applied.
 func (conn *conn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
-	conn.upstream.mu.Lock()
-	defer conn.upstream.mu.Unlock()
+	upstream, database := conn.upstream, conn.database
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	deadline := time.Now().Add(timeout)
+	if needsSlot(request) {
+		if !database.takeSlot(upstream, timeout) {
+			return proto.Answer{}, proto.ErrLost
+		}
+		defer func() { database.busy-- }()
+	}
 	if isStatement(request) {
-		work := min(conn.database.StatementDuration, timeout)
-		conn.upstream.mu.Unlock()
-		time.Sleep(work)
-		conn.upstream.mu.Lock()
+		upstream.sleep(min(database.StatementDuration, timeout))
 	}
-	if conn.database.IsUnresponsive || conn.database.UnreachableFrom[conn.vm] {
-		conn.upstream.mu.Unlock()
-		time.Sleep(timeout)
-		conn.upstream.mu.Lock()
+	if database.IsUnresponsive || database.UnreachableFrom[conn.vm] {
+		upstream.sleep(timeout)
 		return proto.Answer{}, proto.ErrLost
 	}
-	if conn.database.IsDown || conn.isClosed {
+	if database.IsDown || conn.isClosed {
 		return proto.Answer{}, proto.ErrLost
 	}
+	upstream.replicate()
 	answer := conn.runRequest(request)
-	if isStatement(request) && answer.Code == proto.OK && conn.database.AnswersToLose > 0 {
-		conn.database.AnswersToLose--
+	upstream.replicate()
+	if committed := conn.committed; !committed.IsZero() {
+		conn.committed = posn.Position{}
+		if !upstream.awaitReplica(conn, committed, time.Until(deadline)) {
+			return proto.Answer{}, proto.ErrLost
+		}
+	}
+	if isStatement(request) && answer.Code == proto.OK && database.AnswersToLose > 0 {
+		database.AnswersToLose--
 		return proto.Answer{}, proto.ErrLost
 	}
 	answer.Position = conn.database.Position()
@@ -405,7 +362,7 @@
 	database := conn.database
 	switch request := request.(type) {
 	case proto.Start:
-		if !request.ReadOnly && !conn.upstream.isLeading(database.ID) {
+		if !request.ReadOnly && !database.leads {
 			return proto.Answer{Code: proto.ReadOnly}
 		}
 		if !database.Position().AtLeast(request.MinPosition) {
@@ -445,19 +402,21 @@
 	database, upstream := conn.database, conn.upstream
 	switch request := request.(type) {
 	case proto.Seal:
-		if request.Term > upstream.termOf(database.ID) && !upstream.isLeading(database.ID) {
+		if request.Term > database.term && !database.leads {
 			database.sealedTerm = request.Term
 		}
 	case proto.Unseal:
 		database.sealedTerm = 0
 	case proto.Demote:
-		upstream.rejoin(database.ID)
-		if database.ID == upstream.primary && request.Term > upstream.term {
+		if database.leads && request.Term > database.term {
+			database.leads = false
+		}
+		if database.ID == upstream.primary && !database.leads {
 			upstream.primary = ""
 		}
 	}
 	return proto.Answer{Report: dbset.Report{
-		Primary: upstream.isLeading(database.ID), Term: upstream.termOf(database.ID),
+		Primary: database.leads, Term: database.term,
 		Received: database.log[len(database.log)-1].position, SealedTerm: database.sealedTerm,
 		Lag: database.Lag, Connections: database.Open,
 	}}
@@ -476,20 +435,20 @@
 	}
 	isWrite := strings.HasPrefix(text, "WRITE")
 	isCommit := text == "COMMIT"
-	if (isWrite || isCommit && conn.hasWrites) && !upstream.isLeading(database.ID) {
+	if (isWrite || isCommit && conn.hasWrites) && !database.leads {
 		return proto.Answer{Code: proto.ReadOnly}
 	}
 	if isWrite && conn.inTransaction {
 		conn.hasWrites = true
 	}
-	_, isFormer := upstream.formerPrimaries[database.ID]
 	run := Run{
 		Database: database.ID, ID: id, Text: text, Values: maps.Clone(conn.values), Conn: conn.number, Team: conn.team,
 		Proof: "proof-" + strconv.Itoa(len(upstream.runs)+1), At: time.Now(),
-		ByFormerPrimary: isFormer, Transaction: conn.transaction,
+		ByFormerPrimary: database.leads && database.ID != upstream.primary, Transaction: conn.transaction,
 	}
 	if isWrite && !conn.inTransaction || isCommit && conn.hasWrites {
-		run.Committed = upstream.appendCommit(database.ID)
+		run.Committed = upstream.appendCommit(database)
+		conn.committed = run.Committed
 	}
 	if isCommit {
 		conn.inTransaction, conn.hasWrites, conn.transaction = false, false, 0
--- a/leader/claim.go
+++ b/leader/claim.go
@@ -155,24 +155,21 @@
 // not by Run, which alone changes the record.
 func (elector *Elector) claimed() int { return max(elector.confirmed.Sets, 1) }
 
-// beginClaim returns the number of sets and the token for the next renewal, and the record that
-// it follows. While an order is in flight for a group that the leader gives up, the record goes
-// on claiming it.
-func (elector *Elector) beginClaim() (sets int, token uint64, former record) {
+// beginClaim returns the number of sets, the token and the orders for the next renewal, and the
+// record that it follows. While an order is in flight or unsettled for a group that the leader gives up, the
+// record goes on claiming it.
+func (elector *Elector) beginClaim() (sets int, token uint64, orders map[string]Order, former record) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
 	sets = elector.configured()
-	for group := range elector.orders {
-		if SetOf(group, sets) != elector.Set {
-			sets = elector.claimed()
-			break
-		}
+	if elector.hasOrderBeyond(sets) {
+		sets = elector.claimed()
 	}
 	if elector.grant != nil && sets != elector.claimed() {
 		// The write may be made even if its answer is lost.
 		elector.grant.sets = append(slices.Clone(elector.grant.sets), sets)
 	}
-	return sets, max(elector.token, elector.minToken), elector.confirmed
+	return sets, max(elector.token, elector.minToken), elector.ordersToWrite(), elector.confirmed
 }
 
 // isSettled reports whether nothing is left to be read of the other sets' records.
--- a/leader/heartbeat.go
+++ b/leader/heartbeat.go
@@ -52,6 +52,7 @@
 			return
 		}
 		elector.observe(store.Item{Key: keyOf(elector.Set), Value: value, Revision: heartbeat.Revision})
+		elector.isPartial = true
 	}
 	if heartbeat.At.Before(elector.observedAt) {
 		elector.observedAt = heartbeat.At
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -8,12 +8,15 @@
 //  9. A leader treats its lease as valid only for TTL from the moment it sent the last
 //     confirmed renewal. Another VM replaces a record that was not released only after
 //     seeing it unchanged for longer than TTL. Both use clocks that keep counting while the
-//     VM is suspended, so two VMs never hold the lease at the same time.
+//     VM is suspended, so two VMs never hold the lease at the same time. An order is in the
+//     record before it is sent and until its outcome is known, so that the next leader knows
+//     which orders may still take effect.
 package leader
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -103,6 +106,14 @@
 	// than those of the other sets.
 	orders   map[string]int
 	minToken uint64
+	// unsettled has the orders that may still take effect, by group: those of this leader and
+	// those in the record that it replaced. renewed is notified of each confirmed write of the
+	// record, and when the lease is lost.
+	unsettled map[string]Order
+	renewed   broadcast
+	// version counts the changes of unsettled. writing is the version that the write in progress
+	// has, recorded that of the last confirmed write.
+	version, writing, recorded uint64
 	// isStopping is set before the lease is released: no further order may begin.
 	isStopping bool
 	// predecessorRenewedAt is the result of PredecessorRenewedAt.
@@ -117,6 +128,8 @@
 	// observed is the last observed record; it is assumed unchanged since observedAt.
 	observed   store.Item
 	observedAt time.Time
+	// isPartial is set if observed comes from a heartbeat, which lacks some fields of the record.
+	isPartial bool
 	// writes counts the writes of this process.
 	writes uint64
 	// others has the last observed records of the other sets.
@@ -155,6 +168,9 @@
 	if elector.others == nil {
 		elector.others, elector.orders = make(map[int]observedRecord), make(map[string]int)
 	}
+	if elector.unsettled == nil {
+		elector.unsettled = make(map[string]Order)
+	}
 	elector.initWake()
 }
 
@@ -194,6 +210,8 @@
 		elector.token = next.Token
 	}
 	elector.validUntil, elector.confirmedRevision, elector.confirmed = sentAt.Add(Validity), revision, next
+	elector.recorded = elector.writing
+	elector.renewed.notify()
 	if !wasValid {
 		elector.changed.notify()
 	}
@@ -332,6 +350,10 @@
 	if wait := elector.untilMayTake(old.Leader != ""); wait > 0 && !isOwn {
 		return wait
 	}
+	if elector.isPartial {
+		// The record may have orders that the heartbeat lacks.
+		return elector.readWhole(ctx)
+	}
 	var renewedAt time.Time
 	if old.Leader != "" && !isOwn {
 		renewedAt = elector.observedAt
@@ -339,7 +361,9 @@
 	// It is stored before the lease can be valid, since it tells which leases still run.
 	elector.mu.Lock()
 	elector.predecessorRenewedAt, elector.minToken, elector.freeSince = renewedAt, 0, time.Time{}
-	next := record{Leader: elector.VM, Run: elector.Process, Token: old.Token + 1}
+	elector.unsettled = make(map[string]Order, len(old.Orders))
+	maps.Copy(elector.unsettled, old.Orders)
+	next := record{Leader: elector.VM, Run: elector.Process, Token: old.Token + 1, Orders: elector.ordersToWrite()}
 	if elector.sets > 1 {
 		// Sets that are taken at the same time begin with different tokens.
 		next.Token += uint64(elector.Set)
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -426,3 +426,46 @@
 		c.Assert(known[0].IsZero(), qt.IsFalse)
 	})
 }
+
+// STALE: a leader that takes the record knows the orders that its predecessor had sent, also if
+// it knows the record from a heartbeat only, and if the record was released.
+func TestOrdersOfPredecessor(t *testing.T) {
+	order := leader.Order{Member: "b", Term: 2}
+	for name, end := range map[string]func(tree *fakekv.Tree, stop func()){
+		"released": func(_ *fakekv.Tree, stop func()) { stop() },
+		"killed": func(tree *fakekv.Tree, stop func()) {
+			tree.SetDown(true)
+			stop()
+			tree.SetDown(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				tree := &fakekv.Tree{}
+				first := newElector(tree, "vm1", 1)
+				stopFirst := startElector(first)
+				time.Sleep(time.Second)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				c.Assert(first.RecordOrder(ctx, "ledger", order), qt.IsTrue)
+				second := newElector(tree, "vm2", 1)
+				stopSecond := startElector(second)
+				defer stopSecond()
+				revision, age := first.OwnHeartbeat()
+				token, _ := first.Holds(0)
+				second.ObserveHeartbeat(leader.Heartbeat{Leader: "vm1", Token: token, Revision: revision, At: time.Now().Add(-age)})
+				end(tree, stopFirst)
+				time.Sleep(10 * time.Second)
+				_, isLeader := second.Holds(0)
+				c.Assert(isLeader, qt.IsTrue)
+				inherited, ok := second.Order("ledger")
+				c.Assert(ok, qt.IsTrue)
+				c.Assert(inherited, qt.Equals, order)
+				second.SettleOrder("ledger", false)
+				_, ok = second.Order("ledger")
+				c.Assert(ok, qt.IsFalse)
+			})
+		})
+	}
+}
--- a/leader/record.go
+++ b/leader/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	// Before bounds the tokens with which leaders of the set have claimed groups by another number
 	// of sets than Sets. In records of earlier versions it is absent, and Token is the bound.
 	Before *uint64 `json:"before,omitempty"`
+	// Orders has the orders that may still take effect, by group.
+	Orders map[string]Order `json:"orders,omitempty"`
 }
 
 // formerToken bounds the tokens with which leaders of the record's set may have acted on groups
@@ -52,6 +55,7 @@
 	elector.mu.Lock()
 	token := elector.token
 	elector.token, elector.validUntil, elector.grant = 0, time.Time{}, nil
+	elector.renewed.notify()
 	elector.mu.Unlock()
 	if token != 0 {
 		elector.Log.Write(event.LeadershipLost, elector.fields(event.Fields{"token": token, "reason": reason}))
@@ -65,6 +69,11 @@
 	if err != nil {
 		return
 	}
+	elector.observeItems(items)
+}
+
+// observeItems observes the record among items that were read, unless a newer one is known.
+func (elector *Elector) observeItems(items []store.Item) {
 	found := store.Item{Key: keyOf(elector.Set)}
 	for _, item := range items {
 		if item.Key == found.Key {
@@ -91,9 +100,11 @@
 // observe stores an observed record and restarts its expiry if the revision differs.
 func (elector *Elector) observe(found store.Item) {
 	if !elector.observedAt.IsZero() && found.Revision == elector.observed.Revision {
+		// A read has more than the heartbeat from which the revision may be known.
+		elector.observed, elector.isPartial = found, false
 		return
 	}
-	elector.observed, elector.observedAt = found, elector.Clock.Now()
+	elector.observed, elector.observedAt, elector.isPartial = found, elector.Clock.Now(), false
 	var current record
 	if len(found.Value) > 0 && json.Unmarshal(found.Value, &current) != nil {
 		return
@@ -114,8 +125,8 @@
 // renew extends the lease and reports whether that was confirmed. The fencing token stays
 // unless another set's is higher.
 func (elector *Elector) renew(ctx context.Context) bool {
-	sets, token, former := elector.beginClaim()
-	next := record{Leader: elector.VM, Run: elector.Process, Token: token}
+	sets, token, orders, former := elector.beginClaim()
+	next := record{Leader: elector.VM, Run: elector.Process, Token: token, Orders: orders}
 	return elector.writeRecord(ctx, next.claiming(sets, former))
 }
 
@@ -165,7 +176,7 @@
 		return
 	}
 	elector.mu.Lock()
-	released := record{Token: token, Sets: elector.confirmed.Sets, Before: elector.confirmed.Before}
+	released := record{Token: token, Sets: elector.confirmed.Sets, Before: elector.confirmed.Before, Orders: maps.Clone(elector.unsettled)}
 	elector.mu.Unlock()
 	elector.invalidate("released")
 	ctx, cancel := context.WithTimeout(context.Background(), TTL/2)
--- a/leader/sets.go
+++ b/leader/sets.go
@@ -149,6 +149,29 @@
 	return sets.electorOf(group).BeginOrder(group, need)
 }
 
+// RecordOrder is Elector.RecordOrder for the set of a group.
+func (sets *Sets) RecordOrder(ctx context.Context, group string, order Order) bool {
+	return sets.electorOf(group).RecordOrder(ctx, group, order)
+}
+
+// SettleOrder is Elector.SettleOrder for the set of a group.
+func (sets *Sets) SettleOrder(group string, isRepeated bool) {
+	sets.electorOf(group).SettleOrder(group, isRepeated)
+}
+
+// Order is Elector.Order for the set of a group.
+func (sets *Sets) Order(group string) (Order, bool) { return sets.electorOf(group).Order(group) }
+
+// RetainOrders is Elector.RetainOrders for all sets.
+func (sets *Sets) RetainOrders(exists func(group string) bool) {
+	sets.mu.Lock()
+	electors := sets.electors
+	sets.mu.Unlock()
+	for _, elector := range electors {
+		elector.RetainOrders(exists)
+	}
+}
+
 // Acquired returns a channel that is closed when the VM next acquires a lease, or may act on
 // other groups. Get it before checking Holds or HoldsGroup.
 func (sets *Sets) Acquired() <-chan struct{} { return sets.changed.wait() }
--- a/lease/issue.go
+++ b/lease/issue.go
@@ -17,6 +17,10 @@
 	tokenSince time.Time
 	leasedAt   map[string]time.Time
 	issuedAt   map[string]map[string]time.Time
+	// terms has the term of the leases that were issued last, by group. ended has the groups
+	// whose earlier leases, also those of other leaders, have ended since tokenSince.
+	terms map[string]uint64
+	ended map[string]bool
 	// requesters is the result of countRequesters at countedAt.
 	requesters int
 	countedAt  time.Time
@@ -35,6 +39,7 @@
 		found = &issuer{
 			token: token, tokenSince: now,
 			leasedAt: make(map[string]time.Time), issuedAt: make(map[string]map[string]time.Time),
+			terms: make(map[string]uint64), ended: make(map[string]bool),
 			views: make(map[string]peerView), viewers: make(map[string]map[string]struct{}),
 		}
 		agent.issuers[set] = found
@@ -93,9 +98,10 @@
 			continue
 		}
 		lease, ok := group.CurrentLease(now)
-		if !ok {
+		if !ok || !agent.mayIssueTerm(issuer, group.Name, lease.Term) {
 			continue
 		}
+		issuer.terms[group.Name] = lease.Term
 		if issuer.issuedAt[group.Name] == nil {
 			issuer.issuedAt[group.Name] = make(map[string]time.Time)
 		}
@@ -108,6 +114,39 @@
 	return leases
 }
 
+// mayIssueTerm reports whether leases of a group's term may be issued: no order may still begin
+// a later term, and the leases of earlier terms have ended. agent.mu must be held.
+func (agent *Agent) mayIssueTerm(issuer *issuer, group string, term uint64) bool {
+	if order, ok := agent.Leadership.Order(group); ok && !order.IsRepeated && order.Term > term {
+		return false
+	}
+	return !agent.hasEarlierLeases(issuer, group, term)
+}
+
+// hasEarlierLeases reports whether leases of a group's earlier terms may be in force. Unless an
+// order was unsettled when this VM became the leader, its predecessors ended them before they
+// promoted a database. agent.mu must be held.
+func (agent *Agent) hasEarlierLeases(issuer *issuer, group string, term uint64) bool {
+	if issued, ok := issuer.terms[group]; ok {
+		return issued < term
+	}
+	_, isOrdered := agent.Leadership.Order(group)
+	return isOrdered && !issuer.ended[group]
+}
+
+// HasEarlierLeases reports whether this VM, as the leader, issues no leases of a group's term
+// since leases of earlier terms may be in force. Revoke ends them.
+func (agent *Agent) HasEarlierLeases(group string, term uint64) bool {
+	token, ok := agent.Leadership.HoldsGroup(group, 0)
+	if !ok {
+		return false
+	}
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	issuer := agent.issuerOf(leader.SetOf(group, agent.Leadership.Count()), token, agent.Clock.Now())
+	return agent.hasEarlierLeases(issuer, group, term)
+}
+
 // recordView stores a VM's report on the primaries.
 func (issuer *issuer) recordView(vm string, view peerView) {
 	issuer.views[vm] = view
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,6 +11,8 @@
 //  9. Before a promotion, every VM has confirmed the revocation of its lease, or
 //     the latest possible expiry of that lease has passed. A VM that has just
 //     become the leader assumes that its predecessor issued leases until that moment.
+//     While an order may still take effect, no leases of an earlier term are issued, and
+//     those of a new term only once those of earlier terms have ended.
 package lease
 
 import (
@@ -80,6 +82,8 @@
 	// PredecessorRenewedAt returns an upper bound for the time of the previous leader's
 	// last renewal, or zero if it may have acted until this VM became the leader.
 	PredecessorRenewedAt(set int) time.Time
+	// Order returns the order for a group that may still take effect, if this VM is the leader.
+	Order(group string) (leader.Order, bool)
 	// GrantedAt returns an upper bound for the time at which the leader of another set may
 	// have acted on a group of this one; zero if there were no other sets.
 	GrantedAt(set int) time.Time
@@ -105,6 +109,8 @@
 	Group  func(name string) *dbset.Group
 	Needed func() []*dbset.Group
 	Peers  func() []string
+	// HasAllPeers reports whether Peers has all VMs that may have a lease; nil means that it has.
+	HasAllPeers func() bool
 	// Evidence returns how long any of the peers uses a replica's report in place of a lease;
 	// nil stands for dbset.EvidenceDuration.
 	Evidence func() time.Duration
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -131,12 +131,20 @@
 	predecessorRenewedAt time.Time
 	// sets is the number of sets; 0 counts as 1.
 	sets int
+	// order is the unsettled order of every group; zero is none.
+	order leader.Order
 }
 
 func (fakeLeadership *fakeLeadership) Count() int              { return max(fakeLeadership.sets, 1) }
 func (fakeLeadership *fakeLeadership) Watch([]int)             {}
 func (fakeLeadership *fakeLeadership) GrantedAt(int) time.Time { return time.Time{} }
 
+func (fakeLeadership *fakeLeadership) Order(string) (leader.Order, bool) {
+	fakeLeadership.mu.Lock()
+	defer fakeLeadership.mu.Unlock()
+	return fakeLeadership.order, fakeLeadership.order != leader.Order{}
+}
+
 func (fakeLeadership *fakeLeadership) HoldsGroup(_ string, need time.Duration) (uint64, bool) {
 	return fakeLeadership.Holds(0, need)
 }
--- a/lease/proof_test.go
+++ b/lease/proof_test.go
@@ -27,6 +27,10 @@
 		group := dbset.New("ledger", "zone-a")
 		group.SetMembers(nodes[0].group.Members(), time.Now())
 		nodes[0].setGroup(group)
+		for _, node := range nodes {
+			// The leader's new process has a token of its own.
+			node.leadership.set("vm1@10.0.0.1", 2)
+		}
 		time.Sleep(dbset.LeaseDuration + 100*time.Millisecond)
 		for _, node := range nodes {
 			c.Assert(node.primary(), qt.Equals, "")
--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -79,7 +79,8 @@
 // returns true once every VM has acknowledged that may have a lease or, since the leader
 // knows of it, may use evidence. VMs that don't need the group are among these: one may
 // begin to need it at any time, and acknowledging makes it ignore the evidence of replicas
-// that the leader could not seal. Revoke returns false once the leases of the VMs that
+// that the leader could not seal. While this VM may not know all others, those that it doesn't
+// know may have leases of the previous leader, until these have expired. Revoke returns false once the leases of the VMs that
 // have not acknowledged have expired, but not before EvidenceDuration, for which the
 // caller has to wait then anyway. It also returns false if ctx ends before that, or if this
 // VM is not the leader.
@@ -102,15 +103,21 @@
 	}
 	sent := make(map[string]attempts)
 	for {
-		unacked := agent.unacked(set, token, group, revocation)
-		if len(unacked) == 0 {
-			return true
-		}
+		unacked, foreignExpiry := agent.unacked(set, token, group, revocation)
+		hasAllPeers := agent.HasAllPeers == nil || agent.HasAllPeers()
 		now, deadline := agent.Clock.Now(), began.Add(agent.EvidenceDuration())
-		if last := unacked[0].expiresAt; last.After(deadline) {
-			deadline = last
+		if len(unacked) == 0 && (hasAllPeers || !now.Before(foreignExpiry)) {
+			agent.endLeases(set, token, group)
+			return hasAllPeers
+		}
+		if !hasAllPeers && foreignExpiry.After(deadline) {
+			deadline = foreignExpiry
+		}
+		if len(unacked) > 0 && unacked[0].expiresAt.After(deadline) {
+			deadline = unacked[0].expiresAt
 		}
 		if !now.Before(deadline) {
+			agent.endLeases(set, token, group)
 			return false
 		}
 		nextAt := deadline
@@ -134,6 +141,16 @@
 	}
 }
 
+// endLeases records that no lease of a group is in force.
+func (agent *Agent) endLeases(set int, token uint64, group string) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	if issuer := agent.issuerOf(set, token, agent.Clock.Now()); issuer.token == token {
+		issuer.ended[group] = true
+		delete(issuer.terms, group)
+	}
+}
+
 // EvidenceDuration returns how long any VM uses a replica's report in place of a lease.
 func (agent *Agent) EvidenceDuration() time.Duration {
 	if agent.Evidence == nil {
@@ -157,16 +174,16 @@
 
 // unacked returns the VMs that have not acknowledged a revocation, those first whose leases
 // may last longest: the listed VMs, and others that may have a lease. A VM to which no lease
-// of the group was issued under the present token may have one from the previous leader.
-func (agent *Agent) unacked(set int, token uint64, group string, revocation *revocation) []unackedVM {
+// of the group was issued under the present token may have one from the previous leader, until
+// foreignExpiry.
+func (agent *Agent) unacked(set int, token uint64, group string, revocation *revocation) (unacked []unackedVM, foreignExpiry time.Time) {
 	peers := agent.Peers()
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	now := agent.Clock.Now()
 	issuer := agent.issuerOf(set, token, now)
-	foreignExpiry := agent.lastForeignIssue(set, issuer).Add(dbset.LeaseDuration + clockMargin)
+	foreignExpiry = agent.lastForeignIssue(set, issuer).Add(dbset.LeaseDuration + clockMargin)
 	revocation.waiting = make(map[string]struct{}, len(peers))
-	var unacked []unackedVM
 	add := func(vm string, isListed bool) {
 		if _, isKnown := revocation.waiting[vm]; isKnown || revocation.acked[vm] {
 			return
@@ -188,7 +205,7 @@
 		add(vm, false)
 	}
 	slices.SortFunc(unacked, func(a, b unackedVM) int { return b.expiresAt.Compare(a.expiresAt) })
-	return unacked
+	return unacked, foreignExpiry
 }
 
 // lastForeignIssue returns the latest time at which the previous leader, or the leader of
--- a/promo/cause.go
+++ b/promo/cause.go
@@ -16,6 +16,8 @@
 	Missing      Cause = "noPrimary"
 	Leaving      Cause = "primaryLeaving"
 	Partitioned  Cause = "primaryCut"
+	// Unfinished means that an order was sent whose outcome is unknown.
+	Unfinished Cause = "orderUnsettled"
 )
 
 // minPartitionedShare is the share of VMs that must be partitioned from a primary for
--- /dev/null
+++ b/promo/order.go
@@ -0,0 +1,167 @@
+package promo
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/leader"
+	"github.com/bramleydoor/bramleydoor/proto"
+)
+
+var (
+	// ErrRefused means that the platform refused an order to promote.
+	ErrRefused = errors.New("platform refuses to promote the database")
+	// ErrNotSent means that an order did not reach the platform.
+	ErrNotSent = errors.New("order did not reach the platform")
+
+	errNotRecorded = errors.Wrap(ErrNotSent, "the leader's record could not be written in time")
+	errNotLeader   = errors.Wrap(ErrNotSent, "the leader lease was lost or expires too soon")
+	errNoEffect    = errors.New("the promoted database did not report itself as primary in time")
+)
+
+// mayTakeEffect reports whether an order may take effect later that failed with err.
+func mayTakeEffect(err error) bool {
+	return !errors.Is(err, ErrRefused) && !errors.Is(err, ErrNotSent) && !errors.Is(err, errNoEffect)
+}
+
+// record records an order while other steps of the promotion run. The channel receives whether
+// it was recorded.
+func (controller *Controller) record(ctx context.Context, order leader.Order) <-chan bool {
+	if earlier, ok := controller.Leadership.Order(); ok {
+		controller.wasRepeated = earlier.IsRepeated
+	}
+	isRecorded := make(chan bool, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		isRecorded <- controller.Leadership.RecordOrder(ctx, order)
+	}()
+	return isRecorded
+}
+
+// send makes the platform promote a database, under the fencing token of the leader lease, and
+// waits until the database leads the order's term. The order is sent only if it was recorded.
+func (controller *Controller) send(ctx context.Context, order leader.Order, isRecorded bool) error {
+	if !isRecorded {
+		return errNotRecorded
+	}
+	token, end, ok := controller.Leadership.BeginOrder(orderTimeout)
+	if !ok {
+		return errNotLeader
+	}
+	controller.awaitedToken = token
+	sendCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := controller.Promoter.Promote(sendCtx, Order{
+		Group: controller.Group.Name, Member: order.Member, Leader: controller.Leader, Token: token,
+	})
+	end()
+	switch {
+	case err == nil && controller.awaitPrimary(ctx, order, primaryTimeout):
+		controller.ineffective = ""
+		return nil
+	case err == nil:
+		// It may already be the primary in the platform's view.
+		controller.ineffective = order.Member
+		return errNoEffect
+	case mayTakeEffect(err):
+		controller.hasUnanswered = true
+		controller.logOrder(event.OrderUnsettled, order, event.Fields{"reason": "noAnswer", "error": err.Error()})
+		if controller.awaitPrimary(ctx, order, effectTimeout) {
+			return nil
+		}
+	}
+	return err
+}
+
+// finishOrder goes on with an order whose outcome is unknown, and returns the delay until the
+// next check. A predecessor's order is first given the time to take effect.
+func (controller *Controller) finishOrder(ctx context.Context, state dbset.State, order leader.Order) time.Duration {
+	if primary, ok := controller.newerPrimary(order.Term - 1); ok {
+		controller.logOrder(event.OrderSettled, order, event.Fields{"primary": primary})
+		controller.Group.ConfirmTerm(order.Term)
+		controller.settle()
+		return 0
+	}
+	isMember := slices.ContainsFunc(state.Members, func(member dbset.MemberState) bool { return member.ID == order.Member })
+	if !isMember && len(state.Members) > 0 && controller.IsSettled() {
+		controller.logOrder(event.OrderSettled, order, nil)
+		controller.settle()
+		return 0
+	}
+	if token, _ := controller.Leadership.Holds(0); controller.awaitedToken != token {
+		controller.awaitedToken = token
+		controller.logOrder(event.OrderUnsettled, order, event.Fields{"reason": "predecessor"})
+		controller.awaitPrimary(ctx, order, effectTimeout)
+		return 0
+	}
+	state.Term = max(state.Term, order.Term-1)
+	return controller.promoteOrLog(ctx, state, Unfinished, order.Member)
+}
+
+// settle records that the order has taken effect, or that its database is gone.
+func (controller *Controller) settle() {
+	controller.Leadership.SettleOrder(controller.hasUnanswered || controller.wasRepeated)
+	controller.hasUnanswered, controller.wasRepeated = false, false
+}
+
+// abandon ends a promotion that has sent no order which may take effect. While an earlier order
+// may, the replicas stay sealed, so that no report of theirs stands in for a lease.
+func (controller *Controller) abandon(seals []sealedReplica) {
+	if order, ok := controller.Leadership.Order(); ok && !order.IsRepeated {
+		if controller.hasUnanswered {
+			return
+		}
+		controller.settle()
+	}
+	controller.unseal(seals)
+}
+
+// newerPrimary returns the primary of a term above formerTerm, if one has reported.
+func (controller *Controller) newerPrimary(formerTerm uint64) (string, bool) {
+	state := controller.Group.State()
+	return state.Primary, state.Primary != "" && state.Term > formerTerm
+}
+
+// awaitPrimary polls the database that an order names until a primary of the order's term, or of
+// a later one, has reported. It returns false after timeout.
+func (controller *Controller) awaitPrimary(ctx context.Context, order leader.Order, timeout time.Duration) bool {
+	deadline := controller.Clock.Now().Add(timeout)
+	for controller.Clock.Now().Before(deadline) {
+		// The report is recorded in the group.
+		_, _ = controller.sendControl(order.Member, proto.GetReport{})
+		if _, ok := controller.newerPrimary(order.Term - 1); ok {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-controller.Clock.After(checkInterval):
+		}
+	}
+	return false
+}
+
+// endEarlierLeases ends the leases of earlier terms, after which those of the present one may be
+// issued. An order that was thought to be without effect may have begun the present term.
+func (controller *Controller) endEarlierLeases(ctx context.Context) {
+	since := controller.Clock.Now()
+	if !controller.Leases.Revoke(ctx, controller.Group.Name) {
+		controller.awaitEvidenceExpiry(ctx, since)
+	}
+	controller.Leases.Resume(controller.Group.Name)
+}
+
+// logOrder writes a log line about an order.
+func (controller *Controller) logOrder(id event.ID, order leader.Order, fields event.Fields) {
+	line := event.Fields{"group": controller.Group.Name, "term": order.Term, "slot": order.Member}
+	for name, value := range fields {
+		line[name] = value
+	}
+	controller.Log.Write(id, line)
+}
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -13,23 +13,23 @@
 //     A promotion without a candidate is not begun.
 //  18. A leaving primary is replaced while it still runs: it is demoted first, so it
 //     accepts no write that its successor lacks.
+//
+// An order may take effect at any time after it was sent, also if its call failed. So it is
+// recorded first, and no leases of an earlier term are issued until its outcome is known:
+// neither by this leader nor by its successor, which goes on with the same database.
 package promo
 
 import (
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/leader"
 )
 
-// ErrRefused means that the platform refused an order to promote.
-var ErrRefused = errors.New("platform refuses to promote the database")
-
 // Order asks the platform to make a database the primary of its group.
 type Order struct {
 	Group, Member string
@@ -38,7 +38,8 @@
 	Token  uint64
 }
 
-// Promoter sends orders to the platform.
+// Promoter sends orders to the platform. An order whose call fails may still take effect, at
+// any later time, unless the error is ErrRefused or ErrNotSent.
 type Promoter interface {
 	Promote(ctx context.Context, order Order) error
 }
@@ -52,6 +53,14 @@
 	BeginOrder(need time.Duration) (token uint64, end func(), ok bool)
 	// Acquired returns a channel that is closed when the lease next becomes valid.
 	Acquired() <-chan struct{}
+	// RecordOrder records an order before it is sent, so that a successor knows of it. It
+	// reports whether that was confirmed before ctx ended.
+	RecordOrder(ctx context.Context, order leader.Order) bool
+	// SettleOrder records that the order has taken effect, or can't any more. With isRepeated,
+	// a call without an answer may still begin another term.
+	SettleOrder(isRepeated bool)
+	// Order returns the order that may still take effect.
+	Order() (leader.Order, bool)
 }
 
 // Leases revokes the primary leases of the VMs before a promotion.
@@ -62,6 +71,9 @@
 	Revoke(ctx context.Context, group string) bool
 	// Resume allows leases to be issued again.
 	Resume(group string)
+	// HasEarlierLeases reports whether no leases of the term are issued since leases of
+	// earlier terms may be in force.
+	HasEarlierLeases(group string, term uint64) bool
 	// EvidenceDuration returns how long any VM uses a replica's report in place of a lease.
 	EvidenceDuration() time.Duration
 	// PeerObservations returns the observations of other VMs about the group's primary.
@@ -99,8 +111,12 @@
 	catchUpTimeout = 300 * time.Millisecond
 	// evidenceMargin is added to the wait for evidence from before the seals to expire.
 	evidenceMargin = 50 * time.Millisecond
+	// recordTimeout bounds the write of an order into the leader's record.
+	recordTimeout = 1 * time.Second
 	// orderTimeout bounds an order to the platform.
 	orderTimeout = 1 * time.Second
+	// effectTimeout bounds the wait for a predecessor's order to take effect.
+	effectTimeout = 1 * time.Second
 	// primaryTimeout bounds the wait for the promoted database to report itself as primary.
 	primaryTimeout = 3 * time.Second
 	// retryDelay is the delay after a failed promotion.
@@ -126,6 +142,16 @@
 	// missingSince is when the group was first observed without a primary; zero if it has
 	// one.
 	missingSince time.Time
+	// awaitedToken is the fencing token under which the controller last sent an order, or
+	// waited for the order of a predecessor.
+	awaitedToken uint64
+	// token is the fencing token at the last check. hasUnanswered is set if the present order
+	// may have been sent in a call without an answer, wasRepeated if an earlier one was.
+	token                      uint64
+	hasUnanswered, wasRepeated bool
+	// ineffective is the database that the last order named, if that was accepted without
+	// effect.
+	ineffective string
 }
 
 // Run checks the group while the VM is the leader, and replaces the primary when
@@ -134,7 +160,8 @@
 	for {
 		acquired := controller.Leadership.Acquired()
 		var next <-chan time.Time
-		if _, ok := controller.Leadership.Holds(0); ok {
+		if token, ok := controller.Leadership.Holds(0); ok {
+			controller.observeToken(token)
 			next = controller.Clock.After(controller.step(ctx))
 		} else {
 			controller.missingSince = time.Time{}
@@ -148,6 +175,16 @@
 	}
 }
 
+// observeToken begins anew if the VM has become the leader since the last check. Whether the
+// calls of its predecessor had answers is unknown.
+func (controller *Controller) observeToken(token uint64) {
+	if token == controller.token {
+		return
+	}
+	order, ok := controller.Leadership.Order()
+	controller.token, controller.hasUnanswered, controller.wasRepeated = token, ok, ok && order.IsRepeated
+}
+
 // step checks the group once, promotes a replica if needed, and returns the delay until
 // the next check.
 func (controller *Controller) step(ctx context.Context) time.Duration {
@@ -158,12 +195,24 @@
 	} else if controller.missingSince.IsZero() {
 		controller.missingSince = now
 	}
+	if order, ok := controller.Leadership.Order(); ok && !order.IsRepeated {
+		return controller.finishOrder(ctx, state, order)
+	}
+	if state.Primary != "" && controller.Leases.HasEarlierLeases(controller.Group.Name, state.Term) {
+		controller.endEarlierLeases(ctx)
+		return checkInterval
+	}
 	cause := FailoverCause(state, controller.Leases.PeerObservations(controller.Group.Name, state.Primary), controller.missingSince, now)
 	if cause == NoCause {
 		controller.unsealAbandoned(state)
 		return checkInterval
 	}
-	if err := controller.promote(ctx, state, cause); err != nil {
+	return controller.promoteOrLog(ctx, state, cause, "")
+}
+
+// promoteOrLog promotes a database, and returns the delay until the next check.
+func (controller *Controller) promoteOrLog(ctx context.Context, state dbset.State, cause Cause, target string) time.Duration {
+	if err := controller.promote(ctx, state, cause, target); err != nil {
 		controller.Log.Write(event.PromotionFailed, event.Fields{
 			"group": controller.Group.Name, "term": state.Term + 1, "error": err.Error(),
 		})
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -10,16 +10,13 @@
 
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
+	"github.com/bramleydoor/bramleydoor/leader"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
-var (
-	// errNoCandidate is also the error of a control request to a database without a pool.
-	errNoCandidate = errors.New("no replica that is not leaving could be sealed")
-	errNotLeader   = errors.New("the leader lease was lost or expires too soon")
-	errNotPrimary  = errors.New("the promoted database did not report itself as primary in time")
-)
+// errNoCandidate is also the error of a control request to a database without a pool.
+var errNoCandidate = errors.New("no replica that is not leaving could be sealed")
 
 // sealedReplica is a replica that refuses log entries of terms below that of its seal.
 type sealedReplica struct {
@@ -28,8 +25,9 @@
 }
 
 // promote seals the replicas, revokes the primary leases and promotes the most advanced replica
-// (rules 8, 9 and 18).
-func (controller *Controller) promote(ctx context.Context, state dbset.State, cause Cause) error {
+// (rules 8, 9 and 18). preferred is the database that an unsettled order names, or empty: it is
+// promoted if it was sealed, since with another one both orders might take effect.
+func (controller *Controller) promote(ctx context.Context, state dbset.State, cause Cause, preferred string) error {
 	start := controller.Clock.Now()
 	term := state.Term + 1
 	controller.Log.Write(event.PromotionBegun, event.Fields{"group": controller.Group.Name, "term": term, "cause": string(cause)})
@@ -39,30 +37,33 @@
 	}
 	seals := controller.sealAll(state, term)
 	sealedAt := controller.Clock.Now()
-	best, ok := mostAdvanced(seals)
-	if !ok {
+	if _, ok := controller.newerPrimary(state.Term); ok {
 		controller.unseal(seals)
+		return nil
+	}
+	best, ok := controller.choose(seals, preferred)
+	if !ok {
+		controller.abandon(seals)
 		return errNoCandidate
 	}
+	order := leader.Order{Member: best.member.ID, Term: term}
+	isRecorded := controller.record(ctx, order)
 	defer controller.Leases.Resume(controller.Group.Name) // on any return; after a success leases resume earlier, below
 	allRevoked := controller.Leases.Revoke(ctx, controller.Group.Name)
 	if !allRevoked {
 		controller.awaitEvidenceExpiry(ctx, sealedAt)
 	}
 	orderedAt := controller.Clock.Now()
-	if err := controller.order(ctx, best.member); err != nil {
-		controller.unseal(seals)
+	if err := controller.send(ctx, order, <-isRecorded); err != nil {
+		if !mayTakeEffect(err) {
+			controller.abandon(seals)
+		}
 		return err
 	}
-	err := controller.awaitPrimary(ctx, best.member, state.Term)
-	if err == nil {
-		controller.Group.ConfirmTerm(controller.Group.Term())
-		controller.Leases.Resume(controller.Group.Name)
-	}
+	controller.settle()
+	controller.Group.ConfirmTerm(controller.Group.Term())
+	controller.Leases.Resume(controller.Group.Name)
 	controller.unseal(seals)
-	if err != nil {
-		return err
-	}
 	controller.Log.Write(event.PromotionDone, event.Fields{
 		"group": controller.Group.Name, "term": term, "slot": best.member.ID,
 		"position": best.report.Received.String(),
@@ -181,7 +182,7 @@
 }
 
 // unsealAbandoned removes seals that were left by a failed promotion, or by a leader that
-// stopped during one.
+// stopped during one before it had recorded an order.
 func (controller *Controller) unsealAbandoned(state dbset.State) {
 	for _, member := range state.Members {
 		if member.Report.SealedTerm <= state.Term || member.Failures > 0 || state.Primary == "" {
@@ -193,6 +194,20 @@
 	}
 }
 
+// choose returns the sealed replica to promote: the preferred one, or else the most advanced.
+func (controller *Controller) choose(seals []sealedReplica, preferred string) (sealedReplica, bool) {
+	for _, seal := range seals {
+		if seal.member.ID == preferred {
+			return seal, true
+		}
+	}
+	candidates := slices.DeleteFunc(slices.Clone(seals), func(seal sealedReplica) bool { return seal.member.ID == controller.ineffective })
+	if len(candidates) == 0 {
+		candidates = seals
+	}
+	return mostAdvanced(candidates)
+}
+
 // mostAdvanced returns the sealed replica with the highest received position, except
 // those that are leaving.
 func mostAdvanced(seals []sealedReplica) (sealedReplica, bool) {
@@ -218,38 +233,6 @@
 	}
 }
 
-// order makes the platform promote the member, under the fencing token of the leader lease.
-func (controller *Controller) order(ctx context.Context, member dbset.Member) error {
-	token, end, ok := controller.Leadership.BeginOrder(orderTimeout)
-	if !ok {
-		return errNotLeader
-	}
-	defer end()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	return controller.Promoter.Promote(ctx, Order{
-		Group: controller.Group.Name, Member: member.ID, Leader: controller.Leader, Token: token,
-	})
-}
-
-// awaitPrimary polls the promoted database until it reports itself as primary of a term
-// above formerTerm. It returns errNotPrimary after primaryTimeout.
-func (controller *Controller) awaitPrimary(ctx context.Context, member dbset.Member, formerTerm uint64) error {
-	deadline := controller.Clock.Now().Add(primaryTimeout)
-	for controller.Clock.Now().Before(deadline) {
-		report, err := controller.sendControl(member.ID, proto.GetReport{})
-		if err == nil && report.Primary && report.Term > formerTerm {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-controller.Clock.After(checkInterval):
-		}
-	}
-	return errNotPrimary
-}
-
 // sendControl sends one control request to a database and returns its report.
 func (controller *Controller) sendControl(id string, request proto.Request) (dbset.Report, error) {
 	pool := controller.Pools.Pool(id)
--- /dev/null
+++ b/vmrun/failover_test.go
@@ -0,0 +1,68 @@
+package vmrun_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bramleydoor/bramleydoor/fakeup"
+	"github.com/bramleydoor/bramleydoor/promo"
+)
+
+// withFailover runs a test on a fleet whose callers write and read at every VM, and checks what
+// they were told at its end. replicas is the number of synchronous replicas.
+func withFailover(t *testing.T, replicas int, test func(c *qt.C, fleet *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fleet := startFleetOf(3, replicas)
+		defer fleet.close()
+		fleet.upstream.PromotionDuration = 600 * time.Millisecond
+		history := fleet.newHistory()
+		history.callAll(5*time.Millisecond, 200*time.Millisecond)
+		time.Sleep(time.Second)
+		test(c, fleet)
+		violations := history.end()
+		c.Assert(violations, qt.HasLen, 0, qt.Commentf("the first of %d: %s", len(violations), append(violations, "")[0]))
+	})
+}
+
+// startFleetOf starts VMs before databases that replicate with a number of synchronous replicas.
+func startFleetOf(count, replicas int) *fleet {
+	fleet := newFleetWithTeams(0, 0)
+	fleet.upstream.SyncReplicas = replicas
+	for range count {
+		fleet.start()
+	}
+	time.Sleep(5 * time.Second)
+	return fleet
+}
+
+// STALE: the leader's process is killed when the platform has accepted its order, and started
+// again before that takes effect. The new process issued leases for the old primary.
+func TestRestartedLeaderKnowsOrder(t *testing.T) {
+	for _, replicas := range []int{0, 0, 1, 1} {
+		withFailover(t, replicas, func(c *qt.C, fleet *fleet) {
+			leader := fleet.leader()
+			var restarted atomic.Bool
+			fleet.upstream.OnOrder = func(promo.Order) {
+				if restarted.Swap(true) {
+					return
+				}
+				leader.kill()
+				fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = nil })
+				time.AfterFunc(200*time.Millisecond, func() { fleet.restart(leader) })
+			}
+			fleet.upstream.Do("a", func(database *fakeup.Database) {
+				database.UnreachableFrom = map[string]bool{leader.name: true, fleet.nonLeader().name: true}
+			})
+			time.Sleep(10 * time.Second)
+			c.Assert(restarted.Load(), qt.IsTrue)
+			c.Assert(fleet.upstream.Terms(), qt.HasLen, 1)
+			c.Assert(fleet.nonLeader().writeGap() < time.Second, qt.IsTrue)
+		})
+	}
+}
--- a/vmrun/fleet_test.go
+++ b/vmrun/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/bramleydoor/bramleydoor/fakekv"
 	"github.com/bramleydoor/bramleydoor/fakeup"
 	"github.com/bramleydoor/bramleydoor/netsim"
+	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/proto"
 	"github.com/bramleydoor/bramleydoor/stats"
 	"github.com/bramleydoor/bramleydoor/store"
@@ -85,11 +86,13 @@
 type cutTree struct {
 	store.Tree
 	isCut atomic.Bool
+	// isKilled is set once the VM's process has been killed.
+	isKilled *atomic.Bool
 }
 
 // unlessCut waits for the time of a call without an answer if the connection is cut.
 func (tree *cutTree) unlessCut(ctx context.Context) error {
-	if !tree.isCut.Load() {
+	if !tree.isCut.Load() && !tree.isKilled.Load() {
 		return nil
 	}
 	select {
@@ -125,7 +128,11 @@
 	tree     *fakekv.Tree
 	upstream *fakeup.Upstream
 	network  *network
-	vms      []*testVM
+	// vmsMu guards vms while processes are killed and started again.
+	vmsMu sync.Mutex
+	vms   []*testVM
+	// killed has the processes that were killed and started again.
+	killed []*testVM
 	// teams is the number of teams in the configuration.
 	teams int
 	// others has the groups with databases besides upstream, by name.
@@ -147,11 +154,48 @@
 
 // groupDialer connects a VM to the databases of all groups.
 type groupDialer struct {
-	fleet *fleet
-	vm    string
+	fleet    *fleet
+	vm       string
+	isKilled *atomic.Bool
+}
+
+// processConn is a connection that ends with its process.
+type processConn struct {
+	proto.DatabaseConn
+	isKilled *atomic.Bool
+}
+
+func (conn processConn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
+	if conn.isKilled.Load() {
+		return proto.Answer{}, proto.ErrLost
+	}
+	return conn.DatabaseConn.Ask(request, timeout)
+}
+
+func (conn processConn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
+	if conn.isKilled.Load() {
+		return nil, proto.ErrLost
+	}
+	return conn.DatabaseConn.AskAll(requests, timeout)
+}
+
+// processPromoter sends the orders of one process.
+type processPromoter struct {
+	upstream *fakeup.Upstream
+	isKilled *atomic.Bool
+}
+
+func (promoter processPromoter) Promote(ctx context.Context, order promo.Order) error {
+	if promoter.isKilled.Load() {
+		return promo.ErrNotSent
+	}
+	return promoter.upstream.Promote(ctx, order)
 }
 
 func (dialer groupDialer) Dial(member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	if dialer.isKilled.Load() {
+		return nil, proto.Answer{}, proto.ErrLost
+	}
 	dialer.fleet.othersMu.Lock()
 	upstream, ok := dialer.fleet.others[member.Group]
 	dialer.fleet.othersMu.Unlock()
@@ -159,12 +203,18 @@
 		upstream = dialer.fleet.upstream
 	}
 	member.ID = strings.TrimPrefix(member.ID, member.Group+"-")
-	return upstream.DialerFrom(dialer.vm).Dial(member, team, timeout)
+	conn, answer, err := upstream.DialerFrom(dialer.vm).Dial(member, team, timeout)
+	if conn == nil {
+		return nil, answer, err
+	}
+	return processConn{conn, dialer.isKilled}, answer, err
 }
 
 type testVM struct {
 	vm       *vmrun.VM
 	name     string
+	number   int
+	isKilled *atomic.Bool
 	listener *listener
 	store    *cutTree
 	stop     context.CancelFunc
@@ -248,6 +298,9 @@
 
 func (fleet *fleet) decodeConfig(value []byte) (*config.Config, error) {
 	decoded, err := decodeConfig(value)
+	if err == nil && fleet.upstream.SyncReplicas > 0 {
+		decoded.Upstreams["ledger"] = config.Upstream{Name: "ledger", MaxConnections: 30, SyncReplicas: fleet.upstream.SyncReplicas}
+	}
 	if err == nil && fleet.teams > 0 {
 		decoded.Teams = make(map[string]config.Team)
 		for i := range fleet.teams {
@@ -267,7 +320,28 @@
 }
 
 func (fleet *fleet) start() *testVM {
-	number := len(fleet.vms) + 1
+	started := fleet.startProcess(len(fleet.vms) + 1)
+	fleet.vms = append(fleet.vms, started)
+	return started
+}
+
+// kill ends the VM's process: from now on it reaches nothing and nobody.
+func (testVM *testVM) kill() {
+	testVM.isKilled.Store(true)
+	testVM.stop()
+}
+
+// restart starts a killed process again, at the same address.
+func (fleet *fleet) restart(killed *testVM) *testVM {
+	started := fleet.startProcess(killed.number)
+	fleet.vmsMu.Lock()
+	defer fleet.vmsMu.Unlock()
+	fleet.killed = append(fleet.killed, killed)
+	fleet.vms[killed.number-1] = started
+	return started
+}
+
+func (fleet *fleet) startProcess(number int) *testVM {
 	ip := fmt.Sprintf("10.0.%d.%d", number>>8, number&0xff)
 	name := fmt.Sprintf("vm%d", number)
 	logger := logrus.New()
@@ -275,19 +349,21 @@
 	if os.Getenv("BRAMLEYDOOR_TEST_LOG") != "" {
 		logger.SetOutput(os.Stderr)
 	}
+	isKilled := &atomic.Bool{}
 	started := &testVM{
-		name: name, done: make(chan struct{}),
+		name: name, number: number, done: make(chan struct{}), isKilled: isKilled,
 		listener: &listener{conns: make(chan net.Conn), closed: make(chan struct{})},
-		store:    &cutTree{Tree: fleet.tree},
+		store:    &cutTree{Tree: fleet.tree, isKilled: isKilled},
 	}
 	started.vm = &vmrun.VM{
 		Adapter: vmrun.Adapter{
-			Store: started.store, Dialer: groupDialer{fleet: fleet, vm: name}, Promoter: fleet.upstream,
+			Store: started.store, Dialer: groupDialer{fleet: fleet, vm: name, isKilled: isKilled},
+			Promoter:  processPromoter{fleet.upstream, isKilled},
 			ConfigKey: configKey, MemberPrefix: memberPrefix,
 			DecodeConfig: fleet.decodeConfig, DecodeMember: decodeMember, ReadStartup: readStartup,
 		},
 		Name: name, Address: ip, Zone: "zone-a", ShutdownTimeout: 6 * time.Second,
-		PeerConn: fleet.network.open(ip), PeerPort: 7440, Listener: started.listener,
+		PeerConn: fleet.network.open(ip, isKilled), PeerPort: 7440, Listener: started.listener,
 		PeerListener: fleet.network.listen(ip), DialPeer: fleet.network.dialFrom(ip),
 		Clock: clock.System{}, Log: event.NewLog(logger, name), Stats: &stats.Stats{},
 	}
@@ -297,7 +373,6 @@
 		defer close(started.done)
 		_ = started.vm.Run(ctx)
 	}()
-	fleet.vms = append(fleet.vms, started)
 	return started
 }
 
@@ -305,7 +380,7 @@
 	for _, testVM := range fleet.vms {
 		testVM.stop()
 	}
-	for _, testVM := range fleet.vms {
+	for _, testVM := range append(fleet.vms, fleet.killed...) {
 		<-testVM.done
 	}
 	synctest.Wait()
@@ -348,6 +423,8 @@
 }
 
 func (fleet *fleet) leader() *testVM {
+	fleet.vmsMu.Lock()
+	defer fleet.vmsMu.Unlock()
 	for _, testVM := range fleet.vms {
 		if testVM.vm.IsLeader() {
 			return testVM
@@ -359,6 +436,8 @@
 // nonLeader returns a VM that is not the leader.
 func (fleet *fleet) nonLeader() *testVM {
 	leader := fleet.leader()
+	fleet.vmsMu.Lock()
+	defer fleet.vmsMu.Unlock()
 	for _, testVM := range fleet.vms {
 		if testVM != leader {
 			return testVM
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -165,6 +165,13 @@
 	return vm.vmList.settled() && vm.vmList.count(vm.Clock.Now()) > 0 && !vm.isScarce(group)
 }
 
+// retainOrders drops the orders for groups that the configuration no longer has.
+func (vm *VM) retainOrders() {
+	if current := vm.config.Load(); current != nil {
+		vm.elector.RetainOrders(func(group string) bool { _, ok := current.Upstreams[group]; return ok })
+	}
+}
+
 // awaitNeed waits until the VM needs the group or is the leader. It returns false when ctx
 // ends before that.
 func (vm *VM) awaitNeed(ctx context.Context, entry *groupEntry) bool {
--- a/vmrun/keys_test.go
+++ b/vmrun/keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,7 +61,7 @@
 func TestForeignMessages(t *testing.T) {
 	withFleet(t, func(c *qt.C, fleet *fleet) {
 		target := fleet.nonLeader()
-		stranger := fleet.network.open("10.9.9.9")
+		stranger := fleet.network.open("10.9.9.9", &atomic.Bool{})
 		conn, err := fleet.network.dialFrom("10.9.9.9")(context.Background(), target.name+"@"+target.vm.Address)
 		c.Assert(err, qt.IsNil)
 		_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: front.example\r\nAccept: */*\r\n\r\n"))
--- a/vmrun/members.go
+++ b/vmrun/members.go
@@ -147,6 +147,7 @@
 		vm.pools.Trim()
 		vm.summarize()
 		vm.reconcileMembers(vm.members.sweep(vm.Clock.Now()))
+		vm.retainOrders()
 	}
 }
 
--- a/vmrun/network_test.go
+++ b/vmrun/network_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/bramleydoor/bramleydoor/netsim"
@@ -60,13 +61,15 @@
 	queue   chan packet
 	once    sync.Once
 	closed  chan struct{}
+	// isKilled is set once the process of the socket has been killed.
+	isKilled *atomic.Bool
 }
 
-func (network *network) open(ip string) *socket {
+func (network *network) open(ip string, isKilled *atomic.Bool) *socket {
 	network.mu.Lock()
 	defer network.mu.Unlock()
 	address := &net.UDPAddr{IP: net.ParseIP(ip), Port: 7440}
-	opened := &socket{network: network, address: address, queue: make(chan packet, 256), closed: make(chan struct{})}
+	opened := &socket{network: network, address: address, queue: make(chan packet, 256), closed: make(chan struct{}), isKilled: isKilled}
 	network.queues[ip] = opened.queue
 	return opened
 }
@@ -83,6 +86,9 @@
 func (socket *socket) WriteTo(data []byte, to net.Addr) (int, error) {
 	socket.network.mu.Lock()
 	defer socket.network.mu.Unlock()
+	if socket.isKilled.Load() {
+		return len(data), nil
+	}
 	ip := to.(*net.UDPAddr).IP.String()
 	own := socket.address.IP.String()
 	socket.network.sent[own]++
--- a/vmrun/sets.go
+++ b/vmrun/sets.go
@@ -1,6 +1,7 @@
 package vmrun
 
 import (
+	"context"
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/leader"
@@ -66,6 +67,21 @@
 	return groupLeadership.HoldsGroup(groupLeadership.group, need)
 }
 
+// RecordOrder records an order for the group before it is sent.
+func (groupLeadership groupLeadership) RecordOrder(ctx context.Context, order leader.Order) bool {
+	return groupLeadership.Sets.RecordOrder(ctx, groupLeadership.group, order)
+}
+
+// SettleOrder records that the order for the group has taken effect, or can't any more.
+func (groupLeadership groupLeadership) SettleOrder(isRepeated bool) {
+	groupLeadership.Sets.SettleOrder(groupLeadership.group, isRepeated)
+}
+
+// Order returns the order for the group that may still take effect.
+func (groupLeadership groupLeadership) Order() (leader.Order, bool) {
+	return groupLeadership.Sets.Order(groupLeadership.group)
+}
+
 // BeginOrder registers an order for the group.
 func (groupLeadership groupLeadership) BeginOrder(need time.Duration) (token uint64, end func(), ok bool) {
 	return groupLeadership.Sets.BeginOrder(groupLeadership.group, need)
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -185,7 +185,7 @@
 		Conn: vm.PeerConn, VM: vm.id(), Port: vm.PeerPort, Auth: vm.auth, Leadership: vm.elector.Sets, Clock: vm.Clock, Log: vm.Log,
 		Group: vm.findGroup, Needed: vm.neededGroups, Peers: vm.vmList.names, StoreState: vm.storeStateOf, OnStoreState: vm.receiveStoreState,
 	}
-	vm.leases.Evidence = vm.vmList.evidenceDuration
+	vm.leases.Evidence, vm.leases.HasAllPeers = vm.vmList.evidenceDuration, vm.vmList.settled
 	vm.leases.IdleInterval, vm.leases.NeedsFirstSet = vm.idleInterval, vm.hasTeams
 	vm.elector.LastMessageAt, vm.elector.MessageInterval = vm.leases.LastAnswerAt, vm.leases.Interval
 	vm.elector.lastAnswerAt = vm.leases.LastAnswerAt
--- a/vmrun/vmrun_test.go
+++ b/vmrun/vmrun_test.go
@@ -58,6 +58,7 @@
 		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsUnresponsive = true })
 		time.AfterFunc(900*time.Millisecond, func() {
 			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsUnresponsive = false })
+			fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsReplicationStopped = false })
 		})
 		gap := fleet.nonLeader().writeGap()
 		c.Assert(fleet.upstream.Primary(), qt.Equals, "c")
