promo: a replica of an earlier term isn't promoted where replication is synchronous

Cause: with synchronous replication commits wait at the primary, in their slots, while no replica receives. A primary whose slots all wait answers no report and looks failed. The leader then promoted any replica that it could seal, although it knew that the replica was still in the former term and before the start of the present one.

Fix: such a replica is no candidate, by its last report and once it is sealed. Without a candidate no promotion begins and the leases stay.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -145,6 +145,8 @@
 	order   []string
 	term    uint64
 	primary string
+	// isSynchronous is State.IsSynchronous.
+	isSynchronous bool
 	// termStart is a position of the term that covers every entry retained from
 	// earlier terms.
 	termStart   posn.Position
@@ -206,6 +208,14 @@
 	group.notifyChange()
 }
 
+// SetSynchronous sets whether the group acknowledges a commit only once a replica has
+// received it.
+func (group *Group) SetSynchronous(isSynchronous bool) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.isSynchronous = isSynchronous
+}
+
 // Members returns the registered databases.
 func (group *Group) Members() []Member {
 	group.mu.Lock()
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -4,13 +4,20 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/bramleydoor/bramleydoor/posn"
 )
 
 // State is a snapshot of a group for the leader.
 type State struct {
 	Term    uint64
 	Primary string
-	Members []MemberState
+	// TermStart is a position of the term that covers every entry retained from earlier terms;
+	// zero if it is not known.
+	TermStart posn.Position
+	// IsSynchronous is set if a commit is acknowledged only once a replica has received it.
+	IsSynchronous bool
+	Members       []MemberState
 }
 
 // MemberState is the state recorded for one database.
@@ -32,7 +39,7 @@
 func (group *Group) State() State {
 	group.mu.Lock()
 	defer group.mu.Unlock()
-	state := State{Term: group.term, Primary: group.primary}
+	state := State{Term: group.term, Primary: group.primary, TermStart: group.termStart, IsSynchronous: group.isSynchronous}
 	for _, id := range group.order {
 		member := group.members[id]
 		state.Members = append(state.Members, MemberState{
--- a/promo/cause.go
+++ b/promo/cause.go
@@ -82,7 +82,7 @@
 
 func hasCandidate(state dbset.State) bool {
 	for _, member := range state.Members {
-		if isCandidate(member, state.Primary) {
+		if isCandidate(member, state) {
 			return true
 		}
 	}
@@ -90,7 +90,10 @@
 }
 
 // isCandidate reports whether a member can be promoted: it is a replica that answers and
-// is not leaving.
-func isCandidate(member dbset.MemberState, primary string) bool {
-	return member.ID != primary && !member.Leaving && member.Failures == 0 && !member.ReportedAt.IsZero()
+// is not leaving. With synchronous replication it must be in the present term: the primary may
+// only be waiting for a replica to receive its commits, and a replica of an earlier term lacks
+// acknowledged ones.
+func isCandidate(member dbset.MemberState, state dbset.State) bool {
+	return member.ID != state.Primary && !member.Leaving && member.Failures == 0 && !member.ReportedAt.IsZero() &&
+		(!state.IsSynchronous || member.Report.Term >= state.Term)
 }
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -15,8 +15,11 @@
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
-// errNoCandidate is also the error of a control request to a database without a pool.
-var errNoCandidate = errors.New("no replica that is not leaving could be sealed")
+var (
+	// errNoCandidate is also the error of a control request to a database without a pool.
+	errNoCandidate = errors.New("no replica that is not leaving could be sealed")
+	errBehind      = errors.New("no sealed replica has all acknowledged commits")
+)
 
 // sealedReplica is a replica that refuses log entries of terms below that of its seal.
 type sealedReplica struct {
@@ -46,6 +49,11 @@
 		controller.abandon(seals)
 		return errNoCandidate
 	}
+	if state.IsSynchronous && !isInTerm(best.report, state) {
+		controller.abandon(seals)
+		return errors.Wrapf(errBehind, "%s has received %s in term %d, term %d begins at %s",
+			best.member.ID, best.report.Received, best.report.Term, state.Term, state.TermStart)
+	}
 	order := leader.Order{Member: best.member.ID, Term: term}
 	isRecorded := controller.record(ctx, order)
 	defer controller.Leases.Resume(controller.Group.Name) // on any return; after a success leases resume earlier, below
@@ -93,7 +101,7 @@
 // hasReplicaReceived reports whether a replica has received the log up to position.
 func (controller *Controller) hasReplicaReceived(state dbset.State, position posn.Position) bool {
 	for _, member := range state.Members {
-		if !isCandidate(member, state.Primary) {
+		if !isCandidate(member, state) {
 			continue
 		}
 		report, err := controller.sendControl(member.ID, proto.GetReport{})
@@ -224,6 +232,12 @@
 	return best, found
 }
 
+// isInTerm reports whether a replica has received the log of the present term from its start on,
+// and so every commit that was acknowledged in an earlier one.
+func isInTerm(report dbset.Report, state dbset.State) bool {
+	return report.Term >= state.Term && report.Received.AtLeast(state.TermStart)
+}
+
 // awaitEvidenceExpiry waits until no VM uses a replica's report from before the seals in
 // place of a lease any more, or until ctx ends.
 func (controller *Controller) awaitEvidenceExpiry(ctx context.Context, sealedAt time.Time) {
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -66,3 +66,23 @@
 		})
 	}
 }
+
+// LOST: one replica receives nothing, and the primary crashes. The other replica is promoted,
+// and its commits then wait for the deaf one. The leader took it for failed and promoted that.
+func TestDeafReplicaIsNotPromoted(t *testing.T) {
+	withFailover(t, 1, func(c *qt.C, fleet *fleet) {
+		for _, id := range []string{"a", "b", "c"} {
+			fleet.upstream.Do(id, func(database *fakeup.Database) { database.Slots = 3 })
+		}
+		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+		time.Sleep(2 * time.Second)
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = true })
+		time.Sleep(4500 * time.Millisecond)
+		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = false })
+		time.Sleep(1500 * time.Millisecond)
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = false })
+		fleet.upstream.Rejoin("a")
+		c.Assert(fleet.nonLeader().writeGap() < 5*time.Second, qt.IsTrue)
+		c.Assert(fleet.upstream.Terms()[0].Primary, qt.Equals, "b")
+	})
+}
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -38,10 +38,11 @@
 		return
 	}
 	vm.elector.SetCount(leader.SetCount(len(current.Upstreams)))
-	for name := range current.Upstreams {
+	for name, upstream := range current.Upstreams {
 		if _, ok := vm.groups[name]; !ok {
-			vm.groups[name] = vm.startGroup(name)
+			vm.groups[name] = vm.startGroup(upstream)
 		}
+		vm.groups[name].group.SetSynchronous(upstream.SyncReplicas > 0)
 	}
 	for name, entry := range vm.groups {
 		if _, ok := current.Upstreams[name]; !ok {
@@ -90,18 +91,20 @@
 		return
 	}
 	_, byGroup := vm.members.ofGroups(func(string) bool { return true })
-	for name := range next.Upstreams {
+	for name, upstream := range next.Upstreams {
 		if _, ok := vm.groups[name]; !ok {
-			vm.groups[name] = vm.startGroup(name)
+			vm.groups[name] = vm.startGroup(upstream)
 			vm.groups[name].group.SetMembers(byGroup[name], vm.Clock.Now())
 		}
 	}
 }
 
-// startGroup starts the polling and the failover controller of a group.
-func (vm *VM) startGroup(name string) *groupEntry {
+// startGroup starts the polling and the failover controller of an upstream's group.
+func (vm *VM) startGroup(upstream config.Upstream) *groupEntry {
 	ctx, stop := context.WithCancel(context.Background())
+	name := upstream.Name
 	group := dbset.New(name, vm.Zone)
+	group.SetSynchronous(upstream.SyncReplicas > 0)
 	group.HasIdleConn = vm.pools.HasIdleOf
 	controller := &promo.Controller{
 		Group: group, Pools: vm.pools, Promoter: vm.Promoter, Leadership: groupLeadership{vm.elector.Sets, name}, Leases: vm.leases,
