promo, lease: leases are revoked before replicas are sealed, and a promotion proves what it has

Cause: the replica that the leader reached was sealed at once, the leases were revoked 0.4 s later, and commits that the other replica had acknowledged meanwhile were lost with the promotion.

Fix: the revocation comes first. A VM states with its acknowledgement how far it has confirmed commits, in one step with the check of its lease. Where replication is synchronous, a database is promoted only if it has received that much, or if all replicas are sealed; what replicas may have received that have left since is asked of the primary.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -151,6 +151,12 @@
 	// earlier terms.
 	termStart   posn.Position
 	leasedUntil time.Time
+	// acknowledged is the result of Acknowledged.
+	acknowledged posn.Position
+	// formerMembers is the position that State.Required covers for former members. It is
+	// outdated if a replica has left at replicaLeftAt and the primary was not observed since.
+	formerMembers posn.Position
+	replicaLeftAt time.Time
 	// gap is the last period without a lease.
 	gap gap
 	// leaderObservedAt is the result of LeaderObservedAt.
@@ -201,6 +207,11 @@
 		members[registered.ID] = current
 		group.order = append(group.order, registered.ID)
 	}
+	for id, former := range group.members {
+		if _, ok := members[id]; !ok && id != group.primary && !former.reportedAt.IsZero() {
+			group.replicaLeftAt = now
+		}
+	}
 	group.members = members
 	if _, ok := members[group.primary]; !ok {
 		group.primary = ""
@@ -263,6 +274,7 @@
 		group.term, group.primary = report.Term, id
 		group.notifyChange()
 	case report.Term == group.term && group.primary == id:
+		group.coverFormerMembers(report.Received, requestedAt)
 		group.addObservation(report.Received, requestedAt)
 	}
 }
@@ -338,6 +350,7 @@
 	if !position.IsZero() {
 		member.received, member.applied = posn.Max(member.received, position), posn.Max(member.applied, position)
 		if member.ID == group.primary {
+			group.coverFormerMembers(position, requestedAt)
 			group.addObservation(position, requestedAt)
 		} else {
 			member.estimateLag(group.observations, now)
--- a/dbset/lease.go
+++ b/dbset/lease.go
@@ -158,11 +158,23 @@
 	return group.term
 }
 
-// IsLeasedPrimary reports whether the database is the primary of the term under a lease
-// (rule 7).
-func (group *Group) IsLeasedPrimary(id string, term uint64, now time.Time) bool {
+// Acknowledge reports whether a commit at the primary may be acknowledged to its caller, since
+// the database is the primary of the term under a lease (rule 7). The position is that of the
+// commit's answer.
+func (group *Group) Acknowledge(id string, term uint64, position posn.Position, now time.Time) bool {
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	primary, ok := group.leasedPrimary(now)
-	return ok && primary.ID == id && group.term == term
+	if !ok || primary.ID != id || group.term != term {
+		return false
+	}
+	group.acknowledged = posn.Max(group.acknowledged, position)
+	return true
+}
+
+// Acknowledged returns a position that covers all commits that Acknowledge has allowed.
+func (group *Group) Acknowledged() posn.Position {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return group.acknowledged
 }
--- a/dbset/received.go
+++ b/dbset/received.go
@@ -30,6 +30,23 @@
 	return newest
 }
 
+// coverFormerMembers records an observation of the primary's log. It covers what former members
+// had received if it was requested after the last one had left.
+func (group *Group) coverFormerMembers(position posn.Position, requestedAt time.Time) {
+	if !group.replicaLeftAt.IsZero() && requestedAt.After(group.replicaLeftAt) {
+		group.formerMembers, group.replicaLeftAt = position, time.Time{}
+	}
+}
+
+// required returns State.Required. Once the primary has left too, nobody can be asked.
+func (group *Group) required() (posn.Position, bool) {
+	position := group.termStart
+	if group.formerMembers.Term == group.term {
+		position = posn.Max(position, group.formerMembers)
+	}
+	return position, group.replicaLeftAt.IsZero() || group.primary == ""
+}
+
 // LastAnswerAt returns when a database last answered, or when it became a member if it has
 // not answered since; zero if it is not a member.
 func (group *Group) LastAnswerAt(id string) time.Time {
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -12,9 +12,11 @@
 type State struct {
 	Term    uint64
 	Primary string
-	// TermStart is a position of the term that covers every entry retained from earlier terms;
-	// zero if it is not known.
-	TermStart posn.Position
+	// Required is a position that covers every commit which no present member but the primary
+	// may have received: those of earlier terms, and those of replicas that have left. It is
+	// outdated unless IsRequiredKnown is set.
+	Required        posn.Position
+	IsRequiredKnown bool
 	// IsSynchronous is set if a commit is acknowledged only once a replica has received it.
 	IsSynchronous bool
 	Members       []MemberState
@@ -39,7 +41,8 @@
 func (group *Group) State() State {
 	group.mu.Lock()
 	defer group.mu.Unlock()
-	state := State{Term: group.term, Primary: group.primary, TermStart: group.termStart, IsSynchronous: group.isSynchronous}
+	state := State{Term: group.term, Primary: group.primary, IsSynchronous: group.isSynchronous}
+	state.Required, state.IsRequiredKnown = group.required()
 	for _, id := range group.order {
 		member := group.members[id]
 		state.Members = append(state.Members, MemberState{
--- a/engine/single.go
+++ b/engine/single.go
@@ -153,7 +153,7 @@
 	for {
 		changed := execution.group.Changed()
 		now := engine.now()
-		if execution.group.IsLeasedPrimary(primary.ID, term, now) {
+		if execution.group.Acknowledge(primary.ID, term, answer.Position, now) {
 			execution.session.recordCommit(execution.group.Name, answer.Position)
 			return answer
 		}
--- a/lease/message.go
+++ b/lease/message.go
@@ -35,8 +35,12 @@
 	// Position is the primary's position as last observed by the leader; zero in a
 	// request.
 	Position posn.Position
+	// In the acknowledgement of a revocation, Position covers all commits that the VM has
+	// acknowledged to callers.
+	//
 	// AgeMS is in ms: in a lease, the age of Position; in a request, the time since
-	// the primary last answered the requesting VM.
+	// the primary last answered the requesting VM. In the acknowledgement of a revocation it is
+	// at least 1; VMs of earlier versions, which don't set Position, leave it 0.
 	AgeMS int64
 	// IsUnreachable says that the requesting VM can't reach the primary, though it reaches
 	// another database of the group.
--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/leader"
+	"github.com/bramleydoor/bramleydoor/posn"
 )
 
 const (
@@ -23,6 +24,11 @@
 type revocation struct {
 	seq   uint64
 	acked map[string]bool
+	// acknowledged covers the commits that the VMs in acked have acknowledged to callers, except
+	// those whose version does not state them, for which hasUnstated is set. isComplete is set
+	// once every VM that may have had a lease is in acked.
+	acknowledged            posn.Position
+	hasUnstated, isComplete bool
 	// waiting has the VMs that unacked returned last and that have not acknowledged since.
 	// allAcked receives a value when there are none left.
 	waiting  map[string]struct{}
@@ -51,7 +57,11 @@
 	if group := agent.Group(order.Groups[0].Group); group != nil && !group.Revoke(order.Token, agent.Clock.Now()) {
 		return
 	}
-	order.Kind = kindRevokeAck
+	stated := groupState{Group: order.Groups[0].Group, AgeMS: ceilMS(0)}
+	if group := agent.Group(stated.Group); group != nil {
+		stated.Position = group.Acknowledged()
+	}
+	order.Kind, order.Groups = kindRevokeAck, []groupState{stated}
 	leader := order.From
 	order.From = agent.VM
 	agent.send(leader, order)
@@ -65,6 +75,8 @@
 	}
 	if revocation, ok := agent.revocations[reply.Groups[0].Group]; ok && revocation.seq == reply.Seq {
 		revocation.acked[reply.From] = true
+		revocation.acknowledged = posn.Max(revocation.acknowledged, reply.Groups[0].Position)
+		revocation.hasUnstated = revocation.hasUnstated || reply.Groups[0].AgeMS == 0
 		delete(revocation.waiting, reply.From)
 		if len(revocation.waiting) == 0 {
 			select {
@@ -108,6 +120,9 @@
 		now, deadline := agent.Clock.Now(), began.Add(agent.EvidenceDuration())
 		if len(unacked) == 0 && (hasAllPeers || !now.Before(foreignExpiry)) {
 			agent.endLeases(set, token, group)
+			agent.mu.Lock()
+			revocation.isComplete = hasAllPeers
+			agent.mu.Unlock()
 			return hasAllPeers
 		}
 		if !hasAllPeers && foreignExpiry.After(deadline) {
@@ -151,6 +166,18 @@
 	}
 }
 
+// Acknowledged returns a position that covers all commits of a group that VMs have acknowledged
+// to callers. It returns false unless Revoke has returned true, and all VMs state that.
+func (agent *Agent) Acknowledged(group string) (posn.Position, bool) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	revocation, ok := agent.revocations[group]
+	if !ok || !revocation.isComplete || revocation.hasUnstated {
+		return posn.Position{}, false
+	}
+	return revocation.acknowledged, true
+}
+
 // EvidenceDuration returns how long any VM uses a replica's report in place of a lease.
 func (agent *Agent) EvidenceDuration() time.Duration {
 	if agent.Evidence == nil {
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -23,11 +23,14 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/leader"
+	"github.com/bramleydoor/bramleydoor/posn"
 )
 
 // Order asks the platform to make a database the primary of its group.
@@ -69,6 +72,9 @@
 	// VMs have confirmed that. It returns false once the leases of the other VMs have
 	// expired, if ctx ends before that, or if this VM is not the leader.
 	Revoke(ctx context.Context, group string) bool
+	// Acknowledged returns a position that covers all commits that VMs have acknowledged to
+	// callers; false unless Revoke has returned true and all VMs state it.
+	Acknowledged(group string) (posn.Position, bool)
 	// Resume allows leases to be issued again.
 	Resume(group string)
 	// HasEarlierLeases reports whether no leases of the term are issued since leases of
@@ -109,6 +115,10 @@
 	sealTimeout = 1200 * time.Millisecond
 	// catchUpTimeout bounds the wait for a replica to receive a demoted primary's log.
 	catchUpTimeout = 300 * time.Millisecond
+	// revocationLead is how long the revocation of the leases may take before the replicas are
+	// sealed nevertheless, for instance because a VM is gone. All VMs acknowledge sooner, also
+	// if a datagram is lost.
+	revocationLead = 60 * time.Millisecond
 	// evidenceMargin is added to the wait for evidence from before the seals to expire.
 	evidenceMargin = 50 * time.Millisecond
 	// recordTimeout bounds the write of an order into the leader's record.
@@ -119,8 +129,10 @@
 	effectTimeout = 1 * time.Second
 	// primaryTimeout bounds the wait for the promoted database to report itself as primary.
 	primaryTimeout = 3 * time.Second
-	// retryDelay is the delay after a failed promotion.
-	retryDelay = 300 * time.Millisecond
+	// retryDelay is the delay after a failed promotion, behindDelay after one for which no
+	// sealed replica had all acknowledged commits: others may use the primary meanwhile.
+	retryDelay  = 300 * time.Millisecond
+	behindDelay = 1 * time.Second
 )
 
 // Controller monitors the primary of one group and replaces it when needed. Set the
@@ -216,6 +228,9 @@
 		controller.Log.Write(event.PromotionFailed, event.Fields{
 			"group": controller.Group.Name, "term": state.Term + 1, "error": err.Error(),
 		})
+		if errors.Is(err, errBehind) {
+			return behindDelay
+		}
 		return retryDelay
 	}
 	return checkInterval
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -27,7 +27,7 @@
 	report dbset.Report
 }
 
-// promote seals the replicas, revokes the primary leases and promotes the most advanced replica
+// promote revokes the primary leases, seals the replicas and promotes the most advanced one
 // (rules 8, 9 and 18). preferred is the database that an unsettled order names, or empty: it is
 // promoted if it was sealed, since with another one both orders might take effect.
 func (controller *Controller) promote(ctx context.Context, state dbset.State, cause Cause, preferred string) error {
@@ -38,6 +38,12 @@
 		// The leaving primary accepts no write that its successor lacks.
 		controller.demote(state, term)
 	}
+	revocation := controller.revoke(ctx)
+	defer revocation.end() // on any return; after a success leases resume earlier, below
+	if revocation.await(controller.Clock.After(revocationLead)) {
+		// Replicas that are sealed now receive no more.
+		controller.awaitAcknowledged(state)
+	}
 	seals := controller.sealAll(state, term)
 	sealedAt := controller.Clock.Now()
 	if _, ok := controller.newerPrimary(state.Term); ok {
@@ -49,16 +55,17 @@
 		controller.abandon(seals)
 		return errNoCandidate
 	}
-	if state.IsSynchronous && !isInTerm(best.report, state) {
-		controller.abandon(seals)
-		return errors.Wrapf(errBehind, "%s has received %s in term %d, term %d begins at %s",
-			best.member.ID, best.report.Received, best.report.Term, state.Term, state.TermStart)
-	}
 	order := leader.Order{Member: best.member.ID, Term: term}
 	isRecorded := controller.record(ctx, order)
-	defer controller.Leases.Resume(controller.Group.Name) // on any return; after a success leases resume earlier, below
-	allRevoked := controller.Leases.Revoke(ctx, controller.Group.Name)
-	if !allRevoked {
+	revocation.await(nil)
+	if state.IsSynchronous {
+		if err := controller.checkComplete(best, seals); err != nil {
+			<-isRecorded
+			controller.abandon(seals)
+			return err
+		}
+	}
+	if !revocation.areAllRevoked {
 		controller.awaitEvidenceExpiry(ctx, sealedAt)
 	}
 	orderedAt := controller.Clock.Now()
@@ -75,7 +82,7 @@
 	controller.Log.Write(event.PromotionDone, event.Fields{
 		"group": controller.Group.Name, "term": term, "slot": best.member.ID,
 		"position": best.report.Received.String(),
-		"sealed":   len(seals), "allRevoked": allRevoked,
+		"sealed":   len(seals), "allRevoked": revocation.areAllRevoked,
 		"sealMs":   sealedAt.Sub(start).Milliseconds(),
 		"revokeMs": orderedAt.Sub(sealedAt).Milliseconds(),
 		"tookMs":   controller.Clock.Now().Sub(start).Milliseconds(),
@@ -85,15 +92,89 @@
 	return nil
 }
 
+// revocation is a revocation of the group's leases in progress.
+type revocation struct {
+	controller *Controller
+	cancel     context.CancelFunc
+	done       chan struct{}
+	// areAllRevoked is the result of Leases.Revoke, valid after done.
+	areAllRevoked bool
+}
+
+// revoke begins to revoke the leases.
+func (controller *Controller) revoke(ctx context.Context) *revocation {
+	ctx, cancel := context.WithCancel(ctx)
+	revocation := &revocation{controller: controller, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(revocation.done)
+		revocation.areAllRevoked = controller.Leases.Revoke(ctx, controller.Group.Name)
+	}()
+	return revocation
+}
+
+// await waits for the end of the revocation, or until timeout, and reports whether all VMs have
+// acknowledged it.
+func (revocation *revocation) await(timeout <-chan time.Time) bool {
+	select {
+	case <-revocation.done:
+		return revocation.areAllRevoked
+	case <-timeout:
+		return false
+	}
+}
+
+// end ends the revocation and lets leases be issued again.
+func (revocation *revocation) end() {
+	revocation.cancel()
+	<-revocation.done
+	revocation.controller.Leases.Resume(revocation.controller.Group.Name)
+}
+
+// awaitAcknowledged waits up to catchUpTimeout until a replica has received all commits that VMs
+// have acknowledged. It doesn't wait if the primary has ended.
+func (controller *Controller) awaitAcknowledged(state dbset.State) {
+	acknowledged, ok := controller.Leases.Acknowledged(controller.Group.Name)
+	primary, isMember := findMember(state, state.Primary)
+	if ok && isMember && primary.RefusedConnections == 0 {
+		controller.awaitReceived(state, acknowledged)
+	}
+}
+
+// checkComplete returns errBehind unless a sealed replica certainly has all commits that VMs have
+// acknowledged, where the primary acknowledges none that only it has: either the VMs state how
+// far they have acknowledged, or all replicas are sealed, so that none of them has more.
+func (controller *Controller) checkComplete(best sealedReplica, seals []sealedReplica) error {
+	state := controller.Group.State()
+	if best.report.Term < state.Term || !state.IsRequiredKnown || !best.report.Received.AtLeast(state.Required) {
+		return errors.Wrapf(errBehind, "%s has received %s in term %d, required is %s in term %d, known: %t",
+			best.member.ID, best.report.Received, best.report.Term, state.Required, state.Term, state.IsRequiredKnown)
+	}
+	acknowledged, ok := controller.Leases.Acknowledged(controller.Group.Name)
+	if ok && best.report.Received.AtLeast(acknowledged) {
+		return nil
+	}
+	for _, member := range state.Members {
+		if member.ID != state.Primary && !isSealed(seals, member.ID) {
+			return errors.Wrapf(errBehind, "%s has received %s, acknowledged is %s (known: %t), and %s is not sealed",
+				best.member.ID, best.report.Received, acknowledged, ok, member.ID)
+		}
+	}
+	return nil
+}
+
 // demote makes the former primary a replica if it is reachable, and waits up to
 // catchUpTimeout until a replica has received all of its log.
 func (controller *Controller) demote(state dbset.State, term uint64) {
 	report, err := controller.sendControl(state.Primary, proto.Demote{Term: term})
-	if err != nil {
-		return
+	if err == nil {
+		controller.awaitReceived(state, report.Received)
 	}
+}
+
+// awaitReceived waits up to catchUpTimeout until a replica has received the log up to position.
+func (controller *Controller) awaitReceived(state dbset.State, position posn.Position) {
 	deadline := controller.Clock.Now().Add(catchUpTimeout)
-	for controller.Clock.Now().Before(deadline) && !controller.hasReplicaReceived(state, report.Received) {
+	for controller.Clock.Now().Before(deadline) && !controller.hasReplicaReceived(state, position) {
 		<-controller.Clock.After(catchUpTimeout / 10)
 	}
 }
@@ -118,6 +199,9 @@
 func (controller *Controller) sealAll(state dbset.State, term uint64) []sealedReplica {
 	deadline := controller.Clock.Now().Add(sealTimeout)
 	newestKnown := controller.Group.Received()
+	if acknowledged, ok := controller.Leases.Acknowledged(controller.Group.Name); ok {
+		newestKnown = posn.Max(newestKnown, acknowledged)
+	}
 	seals := controller.seal(state, term, nil)
 	for controller.needsMoreSeals(state, seals, newestKnown) && controller.Clock.Now().Before(deadline) {
 		<-controller.Clock.After(checkInterval)
@@ -232,12 +316,6 @@
 	return best, found
 }
 
-// isInTerm reports whether a replica has received the log of the present term from its start on,
-// and so every commit that was acknowledged in an earlier one.
-func isInTerm(report dbset.Report, state dbset.State) bool {
-	return report.Term >= state.Term && report.Received.AtLeast(state.TermStart)
-}
-
 // awaitEvidenceExpiry waits until no VM uses a replica's report from before the seals in
 // place of a lease any more, or until ctx ends.
 func (controller *Controller) awaitEvidenceExpiry(ctx context.Context, sealedAt time.Time) {
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -13,8 +13,9 @@
 )
 
 // withFailover runs a test on a fleet whose callers write and read at every VM, and checks what
-// they were told at its end. replicas is the number of synchronous replicas.
-func withFailover(t *testing.T, replicas int, test func(c *qt.C, fleet *fleet)) {
+// they were told at its end. replicas is the number of synchronous
+// replicas, writePause that between two writes of a caller.
+func withFailover(t *testing.T, replicas int, writePause time.Duration, test func(c *qt.C, fleet *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -22,7 +23,7 @@
 		defer fleet.close()
 		fleet.upstream.PromotionDuration = 600 * time.Millisecond
 		history := fleet.newHistory()
-		history.callAll(5*time.Millisecond, 200*time.Millisecond)
+		history.callAll(5*time.Millisecond, writePause)
 		time.Sleep(time.Second)
 		test(c, fleet)
 		violations := history.end()
@@ -45,7 +46,7 @@
 // again before that takes effect. The new process issued leases for the old primary.
 func TestRestartedLeaderKnowsOrder(t *testing.T) {
 	for _, replicas := range []int{0, 0, 1, 1} {
-		withFailover(t, replicas, func(c *qt.C, fleet *fleet) {
+		withFailover(t, replicas, 200*time.Millisecond, func(c *qt.C, fleet *fleet) {
 			leader := fleet.leader()
 			var restarted atomic.Bool
 			fleet.upstream.OnOrder = func(promo.Order) {
@@ -70,7 +71,7 @@
 // LOST: one replica receives nothing, and the primary crashes. The other replica is promoted,
 // and its commits then wait for the deaf one. The leader took it for failed and promoted that.
 func TestDeafReplicaIsNotPromoted(t *testing.T) {
-	withFailover(t, 1, func(c *qt.C, fleet *fleet) {
+	withFailover(t, 1, 200*time.Millisecond, func(c *qt.C, fleet *fleet) {
 		for _, id := range []string{"a", "b", "c"} {
 			fleet.upstream.Do(id, func(database *fakeup.Database) { database.Slots = 3 })
 		}
@@ -86,3 +87,41 @@
 		c.Assert(fleet.upstream.Terms()[0].Primary, qt.Equals, "b")
 	})
 }
+
+// LOST: the leader reaches neither the primary nor one replica, by which the other VMs' commits
+// are acknowledged until their leases are revoked. The replica that the leader reaches was sealed
+// before that, and promoted without these commits.
+func TestCommitsOfUnsealedReplica(t *testing.T) {
+	for _, replicas := range []int{0, 1} {
+		withFailover(t, replicas, 3*time.Millisecond, func(c *qt.C, fleet *fleet) {
+			leader := fleet.leader().name
+			for _, id := range []string{"a", "c"} {
+				fleet.upstream.Do(id, func(database *fakeup.Database) { database.UnreachableFrom = map[string]bool{leader: true} })
+			}
+			time.Sleep(5 * time.Second)
+			for _, id := range []string{"a", "c"} {
+				fleet.upstream.Do(id, func(database *fakeup.Database) { database.UnreachableFrom = nil })
+			}
+			c.Assert(fleet.nonLeader().writeGap() < 5*time.Second, qt.IsTrue)
+		})
+	}
+}
+
+// LOST: the only replica that receives ends, and its registration too. The primary's commits then
+// wait for the other one, which lacks those that were acknowledged before, and was promoted.
+func TestEndedReplicaMayHaveCommits(t *testing.T) {
+	withFailover(t, 1, 200*time.Millisecond, func(c *qt.C, fleet *fleet) {
+		for _, id := range []string{"a", "b", "c"} {
+			fleet.upstream.Do(id, func(database *fakeup.Database) { database.Slots = 3 })
+		}
+		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+		time.Sleep(2 * time.Second)
+		fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = true })
+		time.Sleep(time.Second)
+		fleet.tree.Remove(memberPrefix + "b")
+		time.Sleep(5 * time.Second)
+		c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = false })
+		c.Assert(fleet.nonLeader().writeGap() < 5*time.Second, qt.IsTrue)
+	})
+}
