promo: a leaving replica that has more than the others is promoted

Cause: both were sealed and reported how far they were, and the leaving one, which had everything, was passed over.

Fix: the most advanced sealed replica is promoted, of several one that is not leaving. A leaving primary stays until a replica has caught up with it, for 3 s at most where replication is asynchronous. The last primary of a term is not chosen again once it was demoted, as an order for it has no effect.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -145,6 +145,8 @@
 	order   []string
 	term    uint64
 	primary string
+	// lastPrimary is State.LastPrimary.
+	lastPrimary string
 	// isSynchronous is State.IsSynchronous.
 	isSynchronous bool
 	// termStart is a position of the term that covers every entry retained from
@@ -202,6 +204,9 @@
 		current, ok := group.members[registered.ID]
 		if !ok || current.Born != registered.Born || current.Address != registered.Address {
 			current = &member{lastAnswerAt: now}
+			if registered.ID == group.lastPrimary {
+				group.lastPrimary = ""
+			}
 		}
 		current.Member = registered
 		members[registered.ID] = current
@@ -271,14 +276,19 @@
 		if report.Term > group.term || group.termStart.IsZero() {
 			group.termStart = report.Received
 		}
-		group.term, group.primary = report.Term, id
-		group.notifyChange()
+		group.setPrimary(report.Term, id)
 	case report.Term == group.term && group.primary == id:
 		group.coverFormerMembers(report.Received, requestedAt)
 		group.addObservation(report.Received, requestedAt)
 	}
 }
 
+// setPrimary sets the term and its primary.
+func (group *Group) setPrimary(term uint64, id string) {
+	group.term, group.primary, group.lastPrimary = term, id, id
+	group.notifyChange()
+}
+
 // recordReplicaReport uses a replica's report: it adopts a newer term, or extends
 // the lease if the report may stand in for one.
 func (group *Group) recordReplicaReport(report Report, requestedAt time.Time) {
--- a/dbset/lease.go
+++ b/dbset/lease.go
@@ -36,8 +36,7 @@
 		if lease.Term > group.term {
 			group.termStart = lease.Start
 		}
-		group.term, group.primary = lease.Term, lease.Primary
-		group.notifyChange()
+		group.setPrimary(lease.Term, lease.Primary)
 	}
 	group.extendLease(requestedAt.Add(LeaseDuration), requestedAt)
 	if !lease.Position.IsZero() {
@@ -96,7 +95,7 @@
 
 // adoptTerm records a newer term whose primary is not known yet.
 func (group *Group) adoptTerm(term uint64) {
-	group.term, group.confirmedTerm, group.primary = term, term, ""
+	group.term, group.confirmedTerm, group.primary, group.lastPrimary = term, term, "", ""
 	group.leasedUntil, group.termStart = time.Time{}, posn.Position{}
 	group.notifyChange()
 }
--- a/dbset/proof.go
+++ b/dbset/proof.go
@@ -53,8 +53,8 @@
 	if group.termStart.IsZero() {
 		group.termStart = proof.Start
 	}
-	group.term, group.confirmedTerm, group.primary = proof.Term, proof.Term, proof.Primary
-	group.notifyChange()
+	group.confirmedTerm = proof.Term
+	group.setPrimary(proof.Term, proof.Primary)
 }
 
 // isLeaseWithheld reports whether the leader answers this VM's requests without a lease of the
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -12,6 +12,8 @@
 type State struct {
 	Term    uint64
 	Primary string
+	// LastPrimary is the last known primary of the term, also after it was demoted.
+	LastPrimary string
 	// Required is a position that covers every commit which no present member but the primary
 	// may have received: those of earlier terms, and those of replicas that have left. It is
 	// outdated unless IsRequiredKnown is set.
@@ -41,7 +43,7 @@
 func (group *Group) State() State {
 	group.mu.Lock()
 	defer group.mu.Unlock()
-	state := State{Term: group.term, Primary: group.primary, IsSynchronous: group.isSynchronous}
+	state := State{Term: group.term, Primary: group.primary, LastPrimary: group.lastPrimary, IsSynchronous: group.isSynchronous}
 	state.Required, state.IsRequiredKnown = group.required()
 	for _, id := range group.order {
 		member := group.members[id]
--- a/promo/cause.go
+++ b/promo/cause.go
@@ -42,7 +42,8 @@
 	case observations.PartitionedShare >= minPartitionedShare:
 		cause = Partitioned
 	}
-	if cause != NoCause && !hasCandidate(state) {
+	mayBeLeaving := cause == Unresponsive || cause == Missing
+	if cause != NoCause && !hasCandidate(state, mayBeLeaving) {
 		return NoCause
 	}
 	return cause
@@ -80,20 +81,21 @@
 	return dbset.MemberState{}, false
 }
 
-func hasCandidate(state dbset.State) bool {
+// hasCandidate reports whether a member can be promoted. A leaving one can if there is no primary
+// to go on with.
+func hasCandidate(state dbset.State, mayBeLeaving bool) bool {
 	for _, member := range state.Members {
-		if isCandidate(member, state) {
+		if isCandidate(member, state) && (mayBeLeaving || !member.Leaving) {
 			return true
 		}
 	}
 	return false
 }
 
-// isCandidate reports whether a member can be promoted: it is a replica that answers and
-// is not leaving. With synchronous replication it must be in the present term: the primary may
+// isCandidate reports whether a member can be promoted: it is a replica that answers. With synchronous replication it must be in the present term: the primary may
 // only be waiting for a replica to receive its commits, and a replica of an earlier term lacks
 // acknowledged ones.
 func isCandidate(member dbset.MemberState, state dbset.State) bool {
-	return member.ID != state.Primary && !member.Leaving && member.Failures == 0 && !member.ReportedAt.IsZero() &&
+	return member.ID != state.Primary && member.ID != state.LastPrimary && member.Failures == 0 && !member.ReportedAt.IsZero() &&
 		(!state.IsSynchronous || member.Report.Term >= state.Term)
 }
--- a/promo/cause_test.go
+++ b/promo/cause_test.go
@@ -16,6 +16,8 @@
 	ago := func(ms int) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	healthy := dbset.MemberState{Member: dbset.Member{ID: "a"}, LastAnswerAt: ago(10), ReportedAt: ago(10)}
 	replica := dbset.MemberState{Member: dbset.Member{ID: "b"}, LastAnswerAt: ago(10), ReportedAt: ago(10)}
+	leavingReplica := replica
+	leavingReplica.Leaving = true
 	with := func(change func(*dbset.MemberState)) dbset.MemberState {
 		member := healthy
 		change(&member)
@@ -48,6 +50,10 @@
 		"silent without a candidate": {with(func(member *dbset.MemberState) {
 			member.Failures, member.LastAnswerAt = 2, ago(700)
 		}), dbset.MemberState{Member: dbset.Member{ID: "b"}, Failures: 3}, "a", promo.PeerObservations{}, time.Time{}, promo.NoCause},
+		"silent, the replica is leaving": {with(func(member *dbset.MemberState) {
+			member.Failures, member.LastAnswerAt = 2, ago(700)
+		}), leavingReplica, "a", promo.PeerObservations{}, time.Time{}, promo.Unresponsive},
+		"leaving, and so is the replica":       {with(func(member *dbset.MemberState) { member.Leaving = true }), leavingReplica, "a", promo.PeerObservations{}, time.Time{}, promo.NoCause},
 		"leaving":                              {with(func(member *dbset.MemberState) { member.Leaving = true }), replica, "a", promo.PeerObservations{}, time.Time{}, promo.Leaving},
 		"partitioned from two of five VMs":     {healthy, replica, "a", promo.PeerObservations{PartitionedShare: 0.4}, time.Time{}, promo.Partitioned},
 		"partitioned from one of five VMs":     {healthy, replica, "a", promo.PeerObservations{PartitionedShare: 0.2}, time.Time{}, promo.NoCause},
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -119,6 +119,10 @@
 	// sealed nevertheless, for instance because a VM is gone. All VMs acknowledge sooner, also
 	// if a datagram is lost.
 	revocationLead = 60 * time.Millisecond
+	// leavingPatience is how long a leaving primary stays while no replica has caught up with it.
+	// It serves for some seconds, and may not be used for longer. Where replication is
+	// synchronous it stays longer: its successor would lack acknowledged commits.
+	leavingPatience = 3 * time.Second
 	// evidenceMargin is added to the wait for evidence from before the seals to expire.
 	evidenceMargin = 50 * time.Millisecond
 	// recordTimeout bounds the write of an order into the leader's record.
@@ -154,6 +158,8 @@
 	// missingSince is when the group was first observed without a primary; zero if it has
 	// one.
 	missingSince time.Time
+	// leavingSince is when the primary was first observed to be leaving; zero if it is not.
+	leavingSince time.Time
 	// awaitedToken is the fencing token under which the controller last sent an order, or
 	// waited for the order of a predecessor.
 	awaitedToken uint64
@@ -215,6 +221,11 @@
 		return checkInterval
 	}
 	cause := FailoverCause(state, controller.Leases.PeerObservations(controller.Group.Name, state.Primary), controller.missingSince, now)
+	if cause != Leaving {
+		controller.leavingSince = time.Time{}
+	} else if controller.leavingSince.IsZero() {
+		controller.leavingSince = now
+	}
 	if cause == NoCause {
 		controller.unsealAbandoned(state)
 		return checkInterval
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -17,7 +17,7 @@
 
 var (
 	// errNoCandidate is also the error of a control request to a database without a pool.
-	errNoCandidate = errors.New("no replica that is not leaving could be sealed")
+	errNoCandidate = errors.New("no replica could be sealed")
 	errBehind      = errors.New("no sealed replica has all acknowledged commits")
 )
 
@@ -35,6 +35,10 @@
 	term := state.Term + 1
 	controller.Log.Write(event.PromotionBegun, event.Fields{"group": controller.Group.Name, "term": term, "cause": string(cause)})
 	if cause == Leaving {
+		isPatient := state.IsSynchronous || start.Sub(controller.leavingSince) < leavingPatience
+		if isPatient && !controller.isReplicaCaughtUp(state) {
+			return errors.Wrapf(errBehind, "no replica has caught up with %s, which is leaving", state.Primary)
+		}
 		// The leaving primary accepts no write that its successor lacks.
 		controller.demote(state, term)
 	}
@@ -50,7 +54,7 @@
 		controller.unseal(seals)
 		return nil
 	}
-	best, ok := controller.choose(seals, preferred)
+	best, ok := controller.choose(seals, preferred, state.LastPrimary)
 	if !ok {
 		controller.abandon(seals)
 		return errNoCandidate
@@ -154,7 +158,7 @@
 		return nil
 	}
 	for _, member := range state.Members {
-		if member.ID != state.Primary && !isSealed(seals, member.ID) {
+		if member.ID != state.LastPrimary && !isSealed(seals, member.ID) {
 			return errors.Wrapf(errBehind, "%s has received %s, acknowledged is %s (known: %t), and %s is not sealed",
 				best.member.ID, best.report.Received, acknowledged, ok, member.ID)
 		}
@@ -171,18 +175,37 @@
 	}
 }
 
-// awaitReceived waits up to catchUpTimeout until a replica has received the log up to position.
-func (controller *Controller) awaitReceived(state dbset.State, position posn.Position) {
+// isReplicaCaughtUp reports whether a replica catches up with the primary, or the primary does
+// not answer any more. A primary that is demoted earlier leaves the group without one until a
+// replica has received all acknowledged commits.
+func (controller *Controller) isReplicaCaughtUp(state dbset.State) bool {
+	report, err := controller.sendControl(state.Primary, proto.GetReport{})
+	if err != nil {
+		primary, _ := findMember(controller.Group.State(), state.Primary)
+		return isDown(primary, controller.Leases.PeerObservations(controller.Group.Name, state.Primary), controller.Clock.Now())
+	}
+	return controller.awaitReceived(state, report.Received)
+}
+
+// awaitReceived waits up to catchUpTimeout until a replica has received the log up to position,
+// and reports whether one has.
+func (controller *Controller) awaitReceived(state dbset.State, position posn.Position) bool {
 	deadline := controller.Clock.Now().Add(catchUpTimeout)
-	for controller.Clock.Now().Before(deadline) && !controller.hasReplicaReceived(state, position) {
+	for !controller.hasReplicaReceived(state, position) {
+		if !controller.Clock.Now().Before(deadline) {
+			return false
+		}
 		<-controller.Clock.After(catchUpTimeout / 10)
 	}
+	return true
 }
 
-// hasReplicaReceived reports whether a replica has received the log up to position.
+// hasReplicaReceived reports whether a replica has received the log up to position; a leaving one
+// counts only if no other is a candidate.
 func (controller *Controller) hasReplicaReceived(state dbset.State, position posn.Position) bool {
+	mayBeLeaving := !hasCandidate(state, false)
 	for _, member := range state.Members {
-		if !isCandidate(member, state) {
+		if !isCandidate(member, state) || member.Leaving && !mayBeLeaving {
 			continue
 		}
 		report, err := controller.sendControl(member.ID, proto.GetReport{})
@@ -217,7 +240,7 @@
 		return false
 	}
 	for _, member := range controller.Group.State().Members {
-		if member.ID != state.Primary && !member.Leaving && member.RefusedConnections == 0 && !isSealed(seals, member.ID) {
+		if member.ID != state.Primary && member.RefusedConnections == 0 && !isSealed(seals, member.ID) {
 			return true
 		}
 	}
@@ -286,30 +309,29 @@
 	}
 }
 
-// choose returns the sealed replica to promote: the preferred one, or else the most advanced.
-func (controller *Controller) choose(seals []sealedReplica, preferred string) (sealedReplica, bool) {
+// choose returns the sealed replica to promote: the preferred one, or else the most advanced. The
+// term's last primary, which was demoted, is the primary still in the platform's view, so that an
+// order for it has no effect.
+func (controller *Controller) choose(seals []sealedReplica, preferred, lastPrimary string) (sealedReplica, bool) {
 	for _, seal := range seals {
 		if seal.member.ID == preferred {
 			return seal, true
 		}
 	}
-	candidates := slices.DeleteFunc(slices.Clone(seals), func(seal sealedReplica) bool { return seal.member.ID == controller.ineffective })
-	if len(candidates) == 0 {
-		candidates = seals
-	}
-	return mostAdvanced(candidates)
+	return mostAdvanced(slices.DeleteFunc(slices.Clone(seals), func(seal sealedReplica) bool {
+		return seal.member.ID == lastPrimary || seal.member.ID == controller.ineffective
+	}))
 }
 
-// mostAdvanced returns the sealed replica with the highest received position, except
-// those that are leaving.
+// mostAdvanced returns the sealed replica with the highest received position, and of several one
+// that is not leaving: a leaving one is replaced again once another has received its log.
 func mostAdvanced(seals []sealedReplica) (sealedReplica, bool) {
 	var best sealedReplica
 	var found bool
 	for _, seal := range seals {
-		if seal.member.Leaving {
-			continue
-		}
-		if !found || !best.report.Received.AtLeast(seal.report.Received) {
+		isAhead := !best.report.Received.AtLeast(seal.report.Received)
+		isEqual := best.report.Received == seal.report.Received
+		if !found || isAhead || isEqual && best.member.Leaving && !seal.member.Leaving {
 			best, found = seal, true
 		}
 	}
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -125,3 +125,28 @@
 		c.Assert(fleet.nonLeader().writeGap() < 5*time.Second, qt.IsTrue)
 	})
 }
+
+// LOST: one replica receives nothing, the other is leaving and acknowledges all commits. When the
+// primary crashes, the leaving one was passed over for the one that lacks them.
+func TestLeavingReplicaWithCommits(t *testing.T) {
+	for _, replicas := range []int{0, 1} {
+		withFailover(t, replicas, 20*time.Millisecond, func(c *qt.C, fleet *fleet) {
+			leaving := fleet.upstream.Members()[1]
+			leaving.Leaving = true
+			fleet.register(leaving)
+			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+			time.Sleep(3 * time.Second)
+			fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = true })
+			time.Sleep(3 * time.Second)
+			c.Assert(fleet.upstream.Primary(), qt.Equals, "b")
+			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = false })
+			time.Sleep(3 * time.Second)
+			c.Assert(fleet.upstream.Primary(), qt.Equals, "c")
+			fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = true })
+			fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = false })
+			fleet.upstream.Rejoin("a")
+			c.Assert(fleet.nonLeader().writeGap() < time.Second, qt.IsTrue)
+			c.Assert(fleet.upstream.Terms(), qt.HasLen, 2)
+		})
+	}
+}
