platform, vmrun: entries that no database writes name no database

Operators of similar systems saw processes end by an odd entry among those of the databases. And an odd entry over a good one left the former database in use for ever.

--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -155,7 +155,7 @@
 // even if the database has not answered since, because only another request can show
 // that it has recovered.
 func (member *member) isAvoided(now time.Time) bool {
-	return member.failures > 0 && now.Sub(member.failedAt) < avoidancePeriod*time.Duration(min(member.failures, 4))
+	return member.absentUntil.After(now) || member.failures > 0 && now.Sub(member.failedAt) < avoidancePeriod*time.Duration(min(member.failures, 4))
 }
 
 // isExpectedToReach reports whether the replica is known to have reached the
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -62,6 +62,9 @@
 	// avoidancePeriod is how long a database is avoided after a failed request,
 	// per consecutive failure.
 	avoidancePeriod = 500 * time.Millisecond
+	// absencePeriod is how long a member is not used after another database has answered at its
+	// address.
+	absencePeriod = 5 * time.Second
 	// lagProbeInterval is how often one read probes a replica that was too far
 	// behind.
 	lagProbeInterval = 400 * time.Millisecond
@@ -129,6 +132,8 @@
 	failingSince time.Time
 	failedAt     time.Time
 	lastAnswerAt time.Time
+	// absentUntil is set if another database has answered at the member's address.
+	absentUntil time.Time
 }
 
 // Group is the state of one database group, as known to one VM.
@@ -311,7 +316,7 @@
 
 func (member *member) recordAnswer(now time.Time) {
 	member.failures, member.refusedConnections = 0, 0
-	member.failingSince = time.Time{}
+	member.failingSince, member.absentUntil = time.Time{}, time.Time{}
 	member.lastAnswerAt = now
 }
 
@@ -387,6 +392,18 @@
 	}
 }
 
+// Absent records that another database answered at the member's address: the registration is
+// odd, or the database has gone and its address is in use again. The member is not used for a
+// while.
+func (group *Group) Absent(id string, now time.Time) {
+	group.Failed(id, false, now)
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if member, ok := group.members[id]; ok {
+		member.absentUntil = now.Add(absencePeriod)
+	}
+}
+
 // Demoted records that a database refused a write because it is not the primary.
 func (group *Group) Demoted(id string) {
 	group.mu.Lock()
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -37,6 +37,8 @@
 	Failures           int
 	RefusedConnections int
 	LastAnswerAt       time.Time
+	// IsAbsent is set if another database last answered at the member's address.
+	IsAbsent bool
 }
 
 // State returns a snapshot of the group.
@@ -50,6 +52,7 @@
 		state.Members = append(state.Members, MemberState{
 			Member: member.Member, Report: member.report, ReportedAt: member.reportedAt,
 			FailingSince: member.failingSince, Failures: member.failures, RefusedConnections: member.refusedConnections, LastAnswerAt: member.lastAnswerAt,
+			IsAbsent: !member.absentUntil.IsZero(),
 		})
 	}
 	return state
@@ -134,6 +137,7 @@
 	for id, member := range group.members {
 		isPrimary := id == group.primary
 		switch {
+		case member.absentUntil.After(now):
 		case group.primary == "" && (isLeader || hasConns || group.mayUseEvidence):
 			rates[id] = FastPoll
 		case isPrimary && (isLeader && now.Sub(member.lastAnswerAt) > maxPrimarySilence || isFailing):
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -159,8 +159,11 @@
 	execution.group.Begin(member.ID)
 	defer execution.group.End(member.ID)
 	conn, err := pool.Get(execution.admissionRequest(), execution.session.restoreCost)
-	if errors.Is(err, dbpool.ErrDial) {
+	switch {
+	case errors.Is(err, dbpool.ErrDial):
 		execution.group.Failed(member.ID, dbpool.IsRefused(err), execution.session.engine.now())
+	case errors.Is(err, dbpool.ErrWrongDatabase):
+		execution.group.Absent(member.ID, execution.session.engine.now())
 	}
 	if err != nil {
 		execution.isSaturated = execution.isSaturated || errors.Is(err, dbpool.ErrNoConn)
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -130,6 +130,8 @@
 	runs      []Run
 	orders    []promo.Order
 	terms     []Term
+	// misdirected is the result of Misdirected.
+	misdirected int
 	// connCount and transactionCount number the connections and transactions.
 	connCount, transactionCount int
 }
@@ -186,6 +188,14 @@
 	return slices.Clone(upstream.terms)
 }
 
+// Misdirected returns how many connections were opened to a database's address under the ID of
+// another one.
+func (upstream *Upstream) Misdirected() int {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	return upstream.misdirected
+}
+
 // Orders returns the promotion orders received so far.
 func (upstream *Upstream) Orders() []promo.Order {
 	upstream.mu.Lock()
@@ -234,6 +244,10 @@
 func (upstream *Upstream) dial(vm string, member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
+	if _, ok := upstream.databases[member.Address]; ok && member.Address != member.ID {
+		upstream.misdirected++
+		return nil, proto.Answer{Code: proto.WrongMember}, nil
+	}
 	database, ok := upstream.databases[member.ID]
 	switch {
 	case !ok || database.IsDown:
--- a/promo/control.go
+++ b/promo/control.go
@@ -52,8 +52,11 @@
 	start := clock.Now()
 	conn, err := pool.Get(admission, nil)
 	if err != nil {
-		if errors.Is(err, dbpool.ErrDial) || errors.Is(err, dbpool.ErrWrongDatabase) {
+		switch {
+		case errors.Is(err, dbpool.ErrDial):
 			group.Failed(id, dbpool.IsRefused(err), clock.Now())
+		case errors.Is(err, dbpool.ErrWrongDatabase):
+			group.Absent(id, clock.Now())
 		}
 		return dbset.Report{}, err
 	}
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -158,7 +158,7 @@
 		return nil
 	}
 	for _, member := range state.Members {
-		if member.ID != state.LastPrimary && !isSealed(seals, member.ID) {
+		if member.ID != state.LastPrimary && !member.IsAbsent && !isSealed(seals, member.ID) {
 			return errors.Wrapf(errBehind, "%s has received %s, acknowledged is %s (known: %t), and %s is not sealed",
 				best.member.ID, best.report.Received, acknowledged, ok, member.ID)
 		}
--- a/vmrun/members.go
+++ b/vmrun/members.go
@@ -86,11 +86,14 @@
 type groupNames map[string]bool
 
 // register stores a registration, and adds the groups whose databases it changes to changed;
-// members.mu must be held. A registration that can't be decoded is logged and ignored.
+// members.mu must be held. A registration that can't be decoded is logged and names no
+// database. One that it replaces ends, but a live database soon registers again.
 func (vm *VM) register(item store.Item, changed groupNames) {
 	member, err := vm.DecodeMember(item.Key, item.Value)
 	if err != nil {
 		vm.Log.Write(event.EntryIgnored, event.Fields{"key": item.Key, "error": err.Error()})
+		now := vm.Clock.Now()
+		vm.members.endAt(item.Key, now.Add(registrationRecovery), now, changed)
 		return
 	}
 	if vm.members.byKey == nil {
@@ -111,14 +114,21 @@
 // After an outage of the store the end is deferred, since the database may register
 // again. The group is added to changed if the database is leaving at once.
 func (members *members) end(key string, now time.Time, changed groupNames) {
+	endedAt := now
+	if settledAt := members.storeRecoveredAt.Add(registrationRecovery); settledAt.After(now) {
+		endedAt = settledAt
+	}
+	members.endAt(key, endedAt, now, changed)
+}
+
+// endAt records that a registration ends at a time, unless it already does; members.mu must be
+// held.
+func (members *members) endAt(key string, endedAt, now time.Time, changed groupNames) {
 	registration, ok := members.byKey[key]
 	if !ok || !registration.endedAt.IsZero() {
 		return
 	}
-	registration.endedAt = now
-	if settledAt := members.storeRecoveredAt.Add(registrationRecovery); settledAt.After(now) {
-		registration.endedAt = settledAt
-	}
+	registration.endedAt = endedAt
 	members.byKey[key] = registration
 	members.markLeaving(key, now, changed)
 }
