--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -110,15 +110,14 @@
 	Name string
 	// PromotionDuration is the time from an order until it takes effect.
 	PromotionDuration time.Duration
-	// OrderDelay is the time until the platform acts on an order, and answers. It acts also if
-	// the caller has given up.
-	OrderDelay time.Duration
 	// SyncReplicas is how many replicas must have received a commit before it is answered: 0 or 1.
 	SyncReplicas int
 	// OnOrder is called with each order that the platform accepts, before it answers.
 	OnOrder func(order promo.Order)
 
 	mu sync.Mutex
+	// orderDelay is the time until the platform acts on an order.
+	orderDelay time.Duration
 	// term and primary are the newest term and its primary; no primary is empty.
 	term    uint64
 	primary string
--- a/fakeup/group.go
+++ b/fakeup/group.go
@@ -142,6 +142,14 @@
 	upstream.replicate()
 }
 
+// Delay sets the time until the platform acts on an order, and answers. It acts also if the
+// caller has given up by then.
+func (upstream *Upstream) Delay(delay time.Duration) {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	upstream.orderDelay = delay
+}
+
 // Promote makes a database the primary of the next term, after PromotionDuration from the
 // acceptance of the order. The former primary keeps its own term and accepts writes until it is
 // demoted or rejoins. A database that is unknown, unresponsive or down gives promo.ErrRefused.
@@ -149,7 +157,7 @@
 func (upstream *Upstream) Promote(ctx context.Context, order promo.Order) error {
 	answer := make(chan error, 1)
 	upstream.mu.Lock()
-	delay := upstream.OrderDelay
+	delay := upstream.orderDelay
 	upstream.mu.Unlock()
 	go func() {
 		time.Sleep(delay)
