dbset: evidence in place of a lease needs every replica, and a lease of the term

A VM that reaches no leader used its primary by the report of any one replica. A leader beyond a partition could seal and promote another one meanwhile: writes were confirmed by a former primary (ONE), and reads were stale.

Fix: all replicas must have reported unsealed, so that the seal of the promoted one is enough; the term must be one of which the VM had a lease; and a revocation ends evidence until the next lease, not for 4 s.

TestEvidenceReplacesLease and TestLeaseEndsGap stated the former rule, by one replica without any lease; they now state the stricter one, with cases for each part of it.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -5,10 +5,11 @@
 // A VM uses the primary only under a primary lease, which lasts for LeaseDuration from
 // the moment the VM requested it from the leader. The leader promotes
 // another database only after it has revoked all its leases or waited until they
-// have expired. If no leader answers, the report of a replica that has not sealed
-// a higher term stands in for the lease until EvidenceDuration after the report was
-// requested. This is safe because the leader first seals the replicas, and then
-// waits that long before it promotes.
+// have expired. If no leader answers, the reports of all replicas, none of which is sealed for
+// a higher term, stand in for the lease until EvidenceDuration after the first of them was
+// requested. This is safe because the leader seals at least the replica that it promotes,
+// and then waits that long, or until all VMs have acknowledged the revocation of their leases:
+// a VM uses no reports from then on until it gets another lease.
 //
 // Rules (numbers as in docs/DESIGN.md; each package states its part):
 //
@@ -36,15 +37,12 @@
 	// IssueWindow is how long after its last renewal a leader issues leases. A leader that
 	// is partitioned from the store soon stops to, so its successor needs not wait long.
 	IssueWindow = 1500 * time.Millisecond
-	// EvidenceDuration is how long a replica's report stands in for a lease,
-	// counted from the request for the report.
+	// EvidenceDuration is how long the replicas' reports stand in for a lease,
+	// counted from the request for the oldest report.
 	EvidenceDuration = 350 * time.Millisecond
 	// FormerEvidenceDuration is the EvidenceDuration of VMs that don't state theirs in their
 	// record in the store.
 	FormerEvidenceDuration = 600 * time.Millisecond
-	// evidenceSuspension is how long after a revocation replicas' reports don't
-	// stand in for a lease. The order to promote has finished by then.
-	evidenceSuspension = 4 * time.Second
 	// lagMargin is added to a replica's lag where its position is estimated.
 	lagMargin = 30 * time.Millisecond
 	// stalenessMargin is subtracted from the accepted staleness, since clocks run at
@@ -158,6 +156,8 @@
 	// earlier terms.
 	termStart   posn.Position
 	leasedUntil time.Time
+	// leasedTerm is the term of the last lease from a leader.
+	leasedTerm uint64
 	// acknowledged is the result of Acknowledged.
 	acknowledged posn.Position
 	// formerMembers is the position that State.Required covers for former members. It is
@@ -305,13 +305,31 @@
 		group.adoptTerm(report.Term)
 		return
 	}
-	if report.SealedTerm > group.term || !group.mayUseEvidence {
+	// After a revocation, and in a term that began without one, only a leader can tell when the
+	// leases of other VMs have ended.
+	if !group.mayUseEvidence || !group.revokedAt.IsZero() || group.leasedTerm != group.term {
 		return
 	}
-	if !group.revokedAt.IsZero() && requestedAt.Sub(group.revokedAt) < evidenceSuspension {
-		return
+	if evidenceAt, ok := group.evidenceAt(); ok {
+		group.extendLease(evidenceAt.Add(EvidenceDuration), requestedAt)
+	}
+}
+
+// evidenceAt returns the time of the oldest of the last reports of all replicas; false unless
+// each has reported and none is sealed for a higher term. A promotion may have sealed one
+// replica only.
+func (group *Group) evidenceAt() (time.Time, bool) {
+	var oldest time.Time
+	for id, replica := range group.members {
+		switch {
+		case id == group.primary:
+		case replica.reportedAt.IsZero(), replica.report.Primary, replica.report.SealedTerm > group.term:
+			return time.Time{}, false
+		case oldest.IsZero() || replica.requestedAt.Before(oldest):
+			oldest = replica.requestedAt
+		}
 	}
-	group.extendLease(requestedAt.Add(EvidenceDuration), requestedAt)
+	return oldest, !oldest.IsZero()
 }
 
 func (member *member) recordAnswer(now time.Time) {
--- a/dbset/dbset_test.go
+++ b/dbset/dbset_test.go
@@ -75,26 +75,36 @@
 	c.Assert(primaryID(group, 251), qt.Equals, "b")
 }
 
-// A replica's report stands in for a lease only on a VM that the leader knows of, only
-// if the replica has not sealed a higher term, and only for EvidenceDuration.
+// STALE, ONE: the replicas' reports stand in for a lease only on a VM that the leader knows of, only
+// if each replica has reported and none has sealed a higher term, only in a term of which the VM
+// had a lease, and only for EvidenceDuration. A leader may have sealed one replica only, and a late
+// order may begin a term while other VMs have leases of the former one.
 func TestEvidenceReplacesLease(t *testing.T) {
 	for name, test := range map[string]struct {
-		report  dbset.Report
-		isKnown bool
-		want    string
+		report     dbset.Report
+		isKnown    bool
+		leasedTerm uint64
+		want       string
 	}{
-		"unsealed":                  {dbset.Report{Term: 1}, true, "a"},
-		"unknown VM":                {dbset.Report{Term: 1}, false, ""},
-		"sealed":                    {dbset.Report{Term: 1, SealedTerm: 2}, true, ""},
-		"sealed for the known term": {dbset.Report{Term: 0, SealedTerm: 1}, true, "a"},
-		"newer term":                {dbset.Report{Term: 2}, true, ""},
+		"unsealed":                  {dbset.Report{Term: 1}, true, 1, "a"},
+		"unknown VM":                {dbset.Report{Term: 1}, false, 1, ""},
+		"sealed":                    {dbset.Report{Term: 1, SealedTerm: 2}, true, 1, ""},
+		"sealed for the known term": {dbset.Report{Term: 0, SealedTerm: 1}, true, 1, "a"},
+		"newer term":                {dbset.Report{Term: 2}, true, 1, ""},
+		"primary":                   {dbset.Report{Term: 0, Primary: true}, true, 1, ""},
+		"no lease":                  {dbset.Report{Term: 1}, true, 0, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			group := newGroup()
 			group.AllowEvidence(test.isKnown)
+			if test.leasedTerm > 0 {
+				group.AcceptLease(dbset.Lease{Token: 1, Term: test.leasedTerm, Primary: "a"}, at(-3000))
+			}
 			group.Report("a", dbset.Report{Primary: true, Term: 1}, at(0), at(1))
-			group.Report("b", test.report, at(10), at(15))
+			group.Report("c", dbset.Report{Term: 1}, at(10), at(12))
+			c.Assert(primaryID(group, 13), qt.Equals, "", qt.Commentf("by one of two replicas"))
+			group.Report("b", test.report, at(20), at(25))
 			end := 10 + int(dbset.EvidenceDuration.Milliseconds())
 			c.Assert(primaryID(group, end-1), qt.Equals, test.want)
 			c.Assert(primaryID(group, end), qt.Equals, "")
@@ -102,6 +112,25 @@
 	}
 }
 
+// STALE: after a revocation, the replicas' reports stand in for a lease only once the VM has had
+// another one, however long ago the revocation was: the order that followed it may be late.
+func TestNoEvidenceAfterRevocation(t *testing.T) {
+	c := qt.New(t)
+	group := newLeasedGroup()
+	group.AllowEvidence(true)
+	report := func(ms int) {
+		for _, id := range []string{"b", "c"} {
+			group.Report(id, dbset.Report{Term: 1}, at(ms), at(ms+1))
+		}
+	}
+	c.Assert(group.Revoke(5, at(200)), qt.IsTrue)
+	report(10_000)
+	c.Assert(primaryID(group, 10_002), qt.Equals, "")
+	group.AcceptLease(dbset.Lease{Token: 6, Term: 1, Primary: "a"}, at(11_000))
+	report(15_000)
+	c.Assert(primaryID(group, 15_002), qt.Equals, "a")
+}
+
 // Rule 5: the minimum position is an observation requested within the accepted
 // staleness. Without one, a read is routed to the primary.
 func TestMinPosition(t *testing.T) {
--- a/dbset/gap_test.go
+++ b/dbset/gap_test.go
@@ -47,6 +47,7 @@
 func TestLeaseEndsGap(t *testing.T) {
 	c := qt.New(t)
 	group := newGroup()
+	group.AcceptLease(dbset.Lease{Token: 1, Term: 1, Primary: "a"}, at(-5000))
 	for ms := 0; ms < 3000; ms += 50 {
 		group.LeaseMissing(at(-5000), at(ms))
 	}
@@ -54,6 +55,7 @@
 	group.AllowEvidence(true)
 	group.Report("a", dbset.Report{Primary: true, Term: 1}, at(2800), at(2801))
 	group.Report("b", dbset.Report{Term: 1}, at(2800), at(3001))
+	group.Report("c", dbset.Report{Term: 1}, at(2800), at(3001))
 	c.Assert(group.MayExpectLease(at(3002)), qt.IsTrue)
 	group.LeaseMissing(at(-5000), at(3450))
 	c.Assert(group.MayExpectLease(at(3451)), qt.IsTrue)
--- a/dbset/lease.go
+++ b/dbset/lease.go
@@ -31,7 +31,7 @@
 	if lease.Token < group.token || lease.Term < group.term || !requestedAt.After(group.revokedAt) {
 		return
 	}
-	group.token, group.revokedAt = lease.Token, time.Time{}
+	group.token, group.revokedAt, group.leasedTerm = lease.Token, time.Time{}, lease.Term
 	if lease.Term > group.term || group.primary != lease.Primary {
 		if lease.Term > group.term {
 			group.termStart = lease.Start
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -119,7 +119,7 @@
 // leader polls the primary if it has not answered for maxPrimarySilence, the
 // replicas at the slow rate, and all databases while no primary is known or the primary fails:
 // it can't tell a partition from the primary unless replicas answer. Any VM polls a
-// failing primary, and one replica for evidence, if evidence is allowed, while the VM's own
+// failing primary, and the replicas for evidence, if evidence is allowed, while the VM's own
 // lease has expired or ends within EvidenceDuration/2. Other VMs than the leader poll all
 // databases while no primary is known if they may use evidence, or else if hasConns: then the
 // polls open connections before the lease arrives. Where connections are scarce, the polls of
@@ -133,7 +133,7 @@
 	primary, isKnown := group.members[group.primary]
 	isFailing := isKnown && primary.failures > 0
 	rates := make(map[string]PollRate)
-	var evidenceSource string
+	needsEvidence := !isLeaseFresh && group.mayUseEvidence
 	for id, member := range group.members {
 		isPrimary := id == group.primary
 		switch {
@@ -149,13 +149,10 @@
 		case isWithheld && (group.HasIdleConn == nil || group.HasIdleConn(id, "")):
 			rates[id] = FastPoll
 		}
-		if !isPrimary && !member.isAvoided(now) && (evidenceSource == "" || id < evidenceSource) {
-			evidenceSource = id
+		if needsEvidence && !isPrimary && !member.isAvoided(now) {
+			rates[id] = FastPoll
 		}
 	}
-	if !isLeaseFresh && group.mayUseEvidence && evidenceSource != "" {
-		rates[evidenceSource] = FastPoll
-	}
 	return rates
 }
 
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleydoor/bramleydoor/fakeup"
 	"github.com/bramleydoor/bramleydoor/promo"
+	"github.com/bramleydoor/bramleydoor/proto"
 )
 
 // withFailover runs a test on a fleet whose callers write and read at every VM, and checks what
@@ -152,6 +153,28 @@
 	}
 }
 
+// STALE, ONE: a VM that the leader doesn't reach goes on with the primary by the report of a
+// replica that the leader could not seal, while another replica was sealed and promoted.
+func TestEvidenceOfUnsealedReplica(t *testing.T) {
+	withFailover(t, 0, 20*time.Millisecond, func(c *qt.C, fleet *fleet) {
+		isolated := fleet.isolate()
+		time.Sleep(4 * time.Second)
+		c.Assert(isolated.tryWrite(), qt.Equals, proto.OK)
+		others := make(map[string]bool)
+		for _, testVM := range fleet.vms {
+			others[testVM.name] = testVM != isolated
+		}
+		for _, id := range []string{"a", "c"} {
+			fleet.upstream.Do(id, func(database *fakeup.Database) {
+				database.UnreachableFrom, database.IsReplicationStopped = others, id == "c"
+			})
+		}
+		fleet.upstream.Do("b", func(database *fakeup.Database) { database.UnreachableFrom = map[string]bool{isolated.name: true} })
+		time.Sleep(8 * time.Second)
+		c.Assert(fleet.upstream.Primary(), qt.Equals, "b")
+	})
+}
+
 // STALE: the platform acts on an order three seconds after the leader has given the call up. The
 // leader forgot the order, issued leases again, and ordered the promotion of another replica.
 func TestOrderWithoutAnswer(t *testing.T) {
