--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -112,12 +112,12 @@
 	PromotionDuration time.Duration
 	// SyncReplicas is how many replicas must have received a commit before it is answered: 0 or 1.
 	SyncReplicas int
-	// OnOrder is called with each order that the platform accepts, before it answers.
-	OnOrder func(order promo.Order)
 
 	mu sync.Mutex
-	// orderDelay is the time until the platform acts on an order.
+	// orderDelay is the time until the platform acts on an order. onOrder is called with each
+	// order that it accepts.
 	orderDelay time.Duration
+	onOrder    func(order promo.Order)
 	// term and primary are the newest term and its primary; no primary is empty.
 	term    uint64
 	primary string
@@ -477,7 +477,9 @@
 	calls      chan proto.Call
 	answers    chan proto.Answer
 	interrupts chan struct{}
-	callCount  int
+	// ended is closed once the process that serves the connection has ended; nil if it doesn't.
+	ended     <-chan struct{}
+	callCount int
 }
 
 // ErrClosed is returned by CallerConn.Next after CallerConn.Leave.
@@ -488,6 +490,19 @@
 	return &CallerConn{calls: make(chan proto.Call), answers: make(chan proto.Answer, 1), interrupts: make(chan struct{}, 1)}
 }
 
+// EndWith makes calls without an answer return proto.InDoubt once ended is closed.
+func (callerConn *CallerConn) EndWith(ended <-chan struct{}) { callerConn.ended = ended }
+
+// answer waits for an answer.
+func (callerConn *CallerConn) answer() proto.Answer {
+	select {
+	case answer := <-callerConn.answers:
+		return answer
+	case <-callerConn.ended:
+		return proto.Answer{Code: proto.InDoubt}
+	}
+}
+
 // Next returns the next call of Ask. It returns proto.ErrIdle after wait, if that is not
 // zero, or after Interrupt.
 func (callerConn *CallerConn) Next(wait time.Duration) (proto.Call, error) {
@@ -523,13 +538,16 @@
 }
 
 // Start returns the answer to the start of the session.
-func (callerConn *CallerConn) Start() proto.Answer { return <-callerConn.answers }
+func (callerConn *CallerConn) Start() proto.Answer { return callerConn.answer() }
 
 // Ask makes a call and returns its answer.
 func (callerConn *CallerConn) Ask(statement proto.Statement, text string) proto.Answer {
 	callerConn.callCount++
-	callerConn.calls <- proto.Call{ID: fmt.Sprintf("call-%d", callerConn.callCount), Text: text, Statement: statement}
-	return <-callerConn.answers
+	select {
+	case callerConn.calls <- proto.Call{ID: fmt.Sprintf("call-%d", callerConn.callCount), Text: text, Statement: statement}:
+	case <-callerConn.ended:
+	}
+	return callerConn.answer()
 }
 
 // Send makes a call without waiting for its answer.
--- a/fakeup/group.go
+++ b/fakeup/group.go
@@ -150,6 +150,14 @@
 	upstream.orderDelay = delay
 }
 
+// SetOnOrder sets the function that is called with each order that the platform accepts, before
+// it answers; nil for none.
+func (upstream *Upstream) SetOnOrder(onOrder func(order promo.Order)) {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	upstream.onOrder = onOrder
+}
+
 // Promote makes a database the primary of the next term, after PromotionDuration from the
 // acceptance of the order. The former primary keeps its own term and accepts writes until it is
 // demoted or rejoins. A database that is unknown, unresponsive or down gives promo.ErrRefused.
@@ -179,7 +187,7 @@
 	if !ok || named.IsUnresponsive || named.IsDown {
 		return promo.ErrRefused
 	}
-	if onOrder := upstream.OnOrder; onOrder != nil {
+	if onOrder := upstream.onOrder; onOrder != nil {
 		upstream.mu.Unlock()
 		onOrder(order)
 		upstream.mu.Lock()
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -51,14 +51,14 @@
 		withFailover(t, replicas, 200*time.Millisecond, func(c *qt.C, fleet *fleet) {
 			leader := fleet.leader()
 			var restarted atomic.Bool
-			fleet.upstream.OnOrder = func(promo.Order) {
+			fleet.upstream.SetOnOrder(func(promo.Order) {
 				if restarted.Swap(true) {
 					return
 				}
 				leader.kill()
 				fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = nil })
 				time.AfterFunc(200*time.Millisecond, func() { fleet.restart(leader) })
-			}
+			})
 			fleet.upstream.Do("a", func(database *fakeup.Database) {
 				database.UnreachableFrom = map[string]bool{leader.name: true, fleet.nonLeader().name: true}
 			})
--- a/vmrun/fleet_test.go
+++ b/vmrun/fleet_test.go
@@ -393,7 +393,11 @@
 
 func (testVM *testVM) openWithKey(database, key string) (*fakeup.CallerConn, proto.Answer) {
 	callerConn := fakeup.NewCallerConn()
-	testVM.listener.conns <- &caller{conn: callerConn, startup: proto.Startup{Database: database, Key: key}}
+	callerConn.EndWith(testVM.done)
+	select {
+	case testVM.listener.conns <- &caller{conn: callerConn, startup: proto.Startup{Database: database, Key: key}}:
+	case <-testVM.done:
+	}
 	return callerConn, callerConn.Start()
 }
 
