--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -92,10 +92,10 @@
 // knows of it, may use evidence. VMs that don't need the group are among these: one may
 // begin to need it at any time, and acknowledging makes it ignore the evidence of replicas
 // that the leader could not seal. While this VM may not know all others, those that it doesn't
-// know may have leases of the previous leader, until these have expired. Revoke returns false once the leases of the VMs that
-// have not acknowledged have expired, but not before EvidenceDuration, for which the
-// caller has to wait then anyway. It also returns false if ctx ends before that, or if this
-// VM is not the leader.
+// know may have leases of the previous leader, until these have expired. Revoke returns false
+// once the leases of the VMs that have not acknowledged have expired, but not before
+// EvidenceDuration, for which the caller has to wait then anyway. It also returns false if ctx
+// ends before that, or if this VM is not the leader.
 func (agent *Agent) Revoke(ctx context.Context, group string) bool {
 	token, ok := agent.Leadership.HoldsGroup(group, 0)
 	if !ok {
