match, dbpool: answers that don't match their requests are counted and logged

The databases' protocol has no request ID in answers. From the counters and logs so far it can't be told whether a caller got a second answer to an earlier request, an answer that was cut off, or a row that a database changed.

Package match compares each answer with its request: kind, proof, state. dbpool.Conn counts a mismatch by reason (metric answers) and logs it (event 2011) with the request, group and slot; data found on an idle connection is reason unread, what is not an answer at all reason invalid. Nothing else changes: the answer is passed on as before.

A ring has at most 1,024 bytes and grows as proofs arrive.

--- a/dbpool/conn.go
+++ b/dbpool/conn.go
@@ -5,6 +5,7 @@
 
 	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/match"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
@@ -19,7 +20,8 @@
 	Values   map[string]string
 	Prepared map[string]proto.Definition
 
-	pool *Pool
+	pool   *Pool
+	stream match.Stream
 	// request is the one for which the connection was last taken.
 	request             admit.Request
 	lastUsedAt          time.Time
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -22,7 +22,9 @@
 	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/stats"
 )
 
 // Errors of Pool.Get. The request was not sent.
@@ -89,6 +91,9 @@
 	Clock  clock.Clock
 	// Share returns the VM's share of the database's connection limit.
 	Share func() int
+	// Log and Stats record answers that don't match their requests; nil records nothing.
+	Log   *event.Log
+	Stats *stats.Stats
 
 	mu      sync.Mutex
 	idle    []*Conn
@@ -120,6 +125,9 @@
 			conn.request = request
 		}
 		if conn != nil && !conn.IsAlive() {
+			if conn.HasUnread() {
+				conn.recordMismatch(nil, reasonUnread, nil)
+			}
 			pool.Discard(conn)
 			continue
 		}
--- a/dbpool/set.go
+++ b/dbpool/set.go
@@ -9,7 +9,9 @@
 	"github.com/bramleydoor/bramleydoor/admit"
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/proto"
+	"github.com/bramleydoor/bramleydoor/stats"
 )
 
 // Set holds the pools of all databases. Its exported fields must be set before use.
@@ -23,6 +25,9 @@
 	// IsScarce reports whether the VM's connections to each database of a group are scarce.
 	// If it is nil, they are if Share is less than ScarceShare.
 	IsScarce func(group string) bool
+	// Log and Stats are those of the pools.
+	Log   *event.Log
+	Stats *stats.Stats
 
 	mu    sync.Mutex
 	pools map[string]*Pool
@@ -57,6 +62,7 @@
 		set.pools[id] = &Pool{
 			Member: member, Dialer: set.Dialer, Clock: set.Clock,
 			Share: func() int { return set.Share(member.Group) },
+			Log:   set.Log, Stats: set.Stats,
 		}
 	}
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -263,7 +263,7 @@
 		return answer
 	}
 	conn := transaction.conn
-	answer, err := execution.sendPinned(conn, proto.Forward{ID: call.ID, Text: call.Text})
+	answer, err := execution.sendPinned(conn, proto.Forward{ID: call.ID, Text: call.Text, IsCommit: true})
 	session.transaction = nil
 	if err != nil {
 		conn.Discard()
--- a/event/event.go
+++ b/event/event.go
@@ -35,6 +35,7 @@
 	PanicContained      ID = 2008
 	AcceptFailed        ID = 2009
 	SessionsRevoked     ID = 2010
+	AnswerMismatched    ID = 2011
 	PrimarySuspected    ID = 3001
 	PromotionBegun      ID = 3002
 	PromotionDone       ID = 3003
@@ -97,6 +98,7 @@
 	{PanicContained, logrus.ErrorLevel, "Panic contained", "An unexpected error ended one request and, for a caller of this VM, its session; the VM serves on. The request may have run. Report the error with its stack.", []string{"request", "error", "stack"}, "0.3"},
 	{AcceptFailed, logrus.ErrorLevel, "Accept failed", "A connection could not be accepted; the VM tries again after a short pause. Many of these events mean that the VM has used up its file descriptors.", []string{"error"}, "0.3"},
 	{SessionsRevoked, logrus.InfoLevel, "Sessions revoked", "A new configuration lacks the key of a team's sessions (count), or gives it to another team; team is empty for callers without one. Idle sessions are closed; an open transaction may go on for 2 s and is then rolled back. No action is needed unless the key was removed by mistake.", []string{"team", "count"}, "0.4"},
+	{AnswerMismatched, logrus.WarnLevel, "Answer does not match", "What was received from a database (slot) can't be the answer to the request; kind is the request's kind. The reason is proofRepeated, noProof, unexpectedProof, rows or state if the answer lacks what this kind has, or has what it can't have; invalid if it is not an answer at all; unread if data was found on an idle connection. It is also the name of a counter. Such an answer may be a second one to an earlier request. Report the database if this recurs.", []string{"request", "kind", "group", "slot", "reason", "error"}, "0.5"},
 	{PrimarySuspected, logrus.WarnLevel, "Primary suspected", "The failover controller has received no answer from the primary for longer than the usual delays explain.", []string{"group", "slot", "silenceMs"}, "0.1"},
 	{PromotionBegun, logrus.WarnLevel, "Promotion begun", "The failover controller starts to seal a new term on a majority of slots.", []string{"group", "term", "cause"}, "0.1"},
 	{PromotionDone, logrus.WarnLevel, "Promotion done", "The group has a new primary.", []string{"group", "term", "slot", "position", "sealed", "allRevoked", "sealMs", "revokeMs", "tookMs"}, "0.1"},
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -292,6 +292,9 @@
 	return !conn.isClosed && !conn.database.IsDown
 }
 
+// HasUnread reports false: the fake's answers are not sent ahead of their requests.
+func (conn *conn) HasUnread() bool { return false }
+
 // Close ends the connection.
 func (conn *conn) Close() {
 	conn.upstream.mu.Lock()
--- /dev/null
+++ b/match/match.go
@@ -0,0 +1,156 @@
+// Package match decides whether an answer of a database can belong to the request for which
+// it was received (pure). The databases' protocol has no request ID in answers, and a database
+// may answer a request twice: the second answer would be taken for that to the next request,
+// and each further one for that to the request after its own.
+//
+// Rules (numbers as in docs/DESIGN.md; each package states its part):
+//
+//  14. What a request's answer shows is its kind, its proof and its state. A statement's
+//     success has a proof that the connection has not received before.
+package match
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleydoor/bramleydoor/proto"
+)
+
+// maxProofs is the number of a connection's last proofs that are compared with a new one.
+const maxProofs = 128
+
+// Reason is why an answer can't belong to a request.
+type Reason string
+
+// The reasons. The zero value means that the answer may belong to the request.
+const (
+	// ProofRepeated means that an earlier answer on the connection had the same proof.
+	ProofRepeated Reason = "proofRepeated"
+	// NoProof means that the success of a statement has no proof.
+	NoProof Reason = "noProof"
+	// UnexpectedProof means that a request which is no statement has an answer with a proof.
+	UnexpectedProof Reason = "unexpectedProof"
+	// UnexpectedRows means that an answer has rows, or a report more than one.
+	UnexpectedRows Reason = "rows"
+	// WrongState means that the transaction state can't follow from the request.
+	WrongState Reason = "state"
+)
+
+// Stream is what the answers on one connection have shown so far. The zero value is a new
+// connection outside a transaction.
+type Stream struct {
+	// proofs has the hashes of the last proofs; oldest is the index of the next to replace
+	// once there are maxProofs.
+	proofs []uint64
+	oldest int
+	state  proto.State
+}
+
+// Check records the next answer on the connection and returns why it can't belong to the
+// request; empty if it may.
+func (stream *Stream) Check(request proto.Request, answer proto.Answer) Reason {
+	previous := stream.state
+	stream.state = answer.State
+	if answer.Code != proto.OK {
+		return checkError(request, previous, answer.State)
+	}
+	switch request := request.(type) {
+	case proto.Forward:
+		if request.IsCommit {
+			return stream.checkStatement(answer, proto.Idle)
+		}
+		return stream.checkStatement(answer, previous)
+	case proto.ForwardPrepared:
+		return stream.checkStatement(answer, previous)
+	case proto.Start:
+		return stream.checkPlain(answer, proto.Open)
+	case proto.AbortTransaction:
+		return stream.checkPlain(answer, proto.Idle)
+	case proto.GetReport, proto.Seal, proto.Unseal, proto.Demote:
+		return stream.checkReport(answer, previous)
+	}
+	return stream.checkPlain(answer, previous)
+}
+
+// checkStatement checks the success of a statement after which the state is want.
+func (stream *Stream) checkStatement(answer proto.Answer, want proto.State) Reason {
+	switch {
+	case answer.Proof == "":
+		return NoProof
+	case !stream.addProof(answer.Proof):
+		return ProofRepeated
+	case answer.State != want || want == proto.Broken:
+		return WrongState
+	}
+	return ""
+}
+
+// checkPlain checks the success of a request that returns neither a proof nor rows.
+func (stream *Stream) checkPlain(answer proto.Answer, want proto.State) Reason {
+	switch {
+	case answer.Proof != "":
+		stream.addProof(answer.Proof)
+		return UnexpectedProof
+	case len(answer.Rows) > 0:
+		return UnexpectedRows
+	case answer.State != want || want == proto.Broken:
+		return WrongState
+	}
+	return ""
+}
+
+// checkReport checks the success of a request that returns the database's report.
+func (stream *Stream) checkReport(answer proto.Answer, want proto.State) Reason {
+	switch {
+	case answer.Proof != "":
+		stream.addProof(answer.Proof)
+		return UnexpectedProof
+	case len(answer.Rows) > 1:
+		return UnexpectedRows
+	case answer.State != want:
+		return WrongState
+	}
+	return ""
+}
+
+// checkError checks the state of an error. An error leaves a transaction open or failed; only
+// that of a commit or rollback may end it.
+func checkError(request proto.Request, previous, state proto.State) Reason {
+	isValid := state == previous
+	switch {
+	case endsTransaction(request):
+		isValid = previous != proto.Idle || state == proto.Idle
+	case previous == proto.Open:
+		isValid = state != proto.Idle
+	}
+	if !isValid {
+		return WrongState
+	}
+	return ""
+}
+
+func endsTransaction(request proto.Request) bool {
+	switch request := request.(type) {
+	case proto.Forward:
+		return request.IsCommit
+	case proto.AbortTransaction:
+		return true
+	}
+	return false
+}
+
+// addProof adds a proof and reports whether it is new.
+func (stream *Stream) addProof(proof string) bool {
+	hash := xxhash.Sum64String(proof)
+	if slices.Contains(stream.proofs, hash) {
+		return false
+	}
+	if len(stream.proofs) < maxProofs {
+		stream.proofs = append(stream.proofs, hash)
+		return true
+	}
+	stream.proofs[stream.oldest] = hash
+	stream.oldest = (stream.oldest + 1) % maxProofs
+	return true
+}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -17,6 +17,9 @@
 // received.
 var ErrLost = errors.New("connection closed or timed out before the answer was received")
 
+// ErrInvalidAnswer means that what was received is not an answer. It is marked as ErrLost too.
+var ErrInvalidAnswer = errors.New("not a valid answer")
+
 // Code classifies an answer.
 type Code int
 
@@ -153,6 +156,8 @@
 	Forward struct {
 		ID, Text    string
 		MinPosition posn.Position
+		// IsCommit is true if the statement commits the open transaction.
+		IsCommit bool
 	}
 	// ForwardPrepared executes a prepared statement; MinPosition is as in Forward.
 	ForwardPrepared struct {
@@ -210,6 +215,8 @@
 	AskAll(requests []Request, timeout time.Duration) ([]Answer, error)
 	// IsAlive reports whether the idle connection appears to be open.
 	IsAlive() bool
+	// HasUnread reports whether the connection has received data that no request has read.
+	HasUnread() bool
 	Close()
 }
 
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -20,6 +20,8 @@
 	// ReplicaAcks counts confirmed writes, by whether a replica was known to have
 	// received them ("received") or not ("alone"). The metric is named "receipts".
 	ReplicaAcks expvar.Map
+	// Answers counts answers of databases that were not accepted, by reason.
+	Answers expvar.Map
 	// StoreCalls counts calls of the platform's store by kind, whether they succeed or not.
 	StoreCalls expvar.Map
 	// Teams counts requests by team, where the configuration has teams.
@@ -61,6 +63,7 @@
 	all.Set("retries", &stats.Retries)
 	all.Set("routes", &stats.Routes)
 	all.Set("receipts", &stats.ReplicaAcks)
+	all.Set("answers", &stats.Answers)
 	all.Set("storeCalls", &stats.StoreCalls)
 	all.Set("sessions", &stats.Sessions)
 	all.Set("requests", &stats.Requests)
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -165,7 +165,10 @@
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
 	vm.Store = store.Counted{Tree: vm.Store, Calls: &vm.Stats.StoreCalls}
-	vm.pools = &dbpool.Set{Dialer: vm.Dialer, Clock: vm.Clock, Share: vm.connectionShare, IsScarce: vm.hasScarceConns}
+	vm.pools = &dbpool.Set{
+		Dialer: vm.Dialer, Clock: vm.Clock, Share: vm.connectionShare, IsScarce: vm.hasScarceConns,
+		Log: vm.Log, Stats: vm.Stats,
+	}
 	vm.engine = &engine.Engine{
 		Config: &vm.config, Groups: vm, Pools: vm.pools, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
 		Acks: &acks.Waiter{Pools: vm.pools, Clock: vm.Clock},
