--- a/stats/stats.go
+++ b/stats/stats.go
@@ -24,6 +24,9 @@
 	Answers expvar.Map
 	// StoreCalls counts calls of the platform's store by kind, whether they succeed or not.
 	StoreCalls expvar.Map
+	// OddMessages counts messages that have a CR or LF within a field, or a blank or tab at
+	// their end, by the side that sent them ("caller" or "database").
+	OddMessages expvar.Map
 	// Teams counts requests by team, where the configuration has teams.
 	Teams Teams
 	// Latency holds the latency histograms of answers.
@@ -65,6 +68,7 @@
 	all.Set("receipts", &stats.ReplicaAcks)
 	all.Set("answers", &stats.Answers)
 	all.Set("storeCalls", &stats.StoreCalls)
+	all.Set("oddMessages", &stats.OddMessages)
 	all.Set("sessions", &stats.Sessions)
 	all.Set("requests", &stats.Requests)
 	all.Set("commits", &stats.Commits)
