--- /dev/null
+++ b/dbpool/stutter_test.go
@@ -0,0 +1,163 @@
+package dbpool_test
+
+import (
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/proto"
+)
+
+// arrival is an answer of a database to the request of the given number.
+type arrival struct {
+	request int
+	answer  proto.Answer
+}
+
+// stutter is a connection to a database that answers requests twice, at most one second answer
+// being under way at a time. It answers as the databases' protocol says.
+type stutter struct {
+	t        *rapid.T
+	state    proto.State
+	proofs   int
+	requests int
+	// late arrives before the answer to request lateBefore.
+	late       arrival
+	lateBefore int
+	queue      []arrival
+	// received has the answers in the order in which they were received, own those to the
+	// requests, by number from 1.
+	received []arrival
+	own      []proto.Answer
+	isClosed bool
+}
+
+// Dial implements proto.Dialer.
+func (stutter *stutter) Dial(dbset.Member, string, time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	return stutter, proto.Answer{}, nil
+}
+
+func (stutter *stutter) Ask(request proto.Request, _ time.Duration) (proto.Answer, error) {
+	stutter.requests++
+	own := arrival{stutter.requests, stutter.answer(request)}
+	stutter.own = append(stutter.own, own.answer)
+	if stutter.lateBefore == stutter.requests {
+		stutter.queue = append(stutter.queue, stutter.late)
+	}
+	stutter.queue = append(stutter.queue, own)
+	if stutter.lateBefore <= stutter.requests && rapid.IntRange(0, 2).Draw(stutter.t, "repeat") == 0 {
+		stutter.late, stutter.lateBefore = own, stutter.requests+rapid.IntRange(1, 4).Draw(stutter.t, "delay")
+	}
+	next := stutter.queue[0]
+	stutter.queue = stutter.queue[1:]
+	stutter.received = append(stutter.received, next)
+	return next.answer, nil
+}
+
+func (stutter *stutter) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
+	var answers []proto.Answer
+	for _, request := range requests {
+		answer, _ := stutter.Ask(request, timeout)
+		answers = append(answers, answer)
+	}
+	return answers, nil
+}
+
+func (stutter *stutter) IsAlive() bool   { return !stutter.isClosed }
+func (stutter *stutter) HasUnread() bool { return false }
+func (stutter *stutter) Close()          { stutter.isClosed = true }
+
+// answer draws the answer to a request.
+func (stutter *stutter) answer(request proto.Request) proto.Answer {
+	answer := proto.Answer{}
+	kind := kindOf(request)
+	isRefused := rapid.IntRange(0, 3).Draw(stutter.t, "error") == 0
+	switch {
+	case kind == "rollback":
+		stutter.state = proto.Idle
+	case stutter.state == proto.Broken:
+		answer.Code = proto.Malformed
+	case isRefused && kind != "setup":
+		answer.Code = rapid.SampledFrom([]proto.Code{proto.Busy, proto.ReadOnly, proto.Lagging, proto.Failed}).Draw(stutter.t, "code")
+		if stutter.state == proto.Open && rapid.Bool().Draw(stutter.t, "fails") {
+			stutter.state = proto.Broken
+		}
+	case kind == "begin":
+		stutter.state = proto.Open
+	case kind == "statement" || kind == "commit":
+		stutter.proofs++
+		answer.Proof = strconv.Itoa(stutter.proofs)
+		if kind == "commit" {
+			stutter.state = proto.Idle
+		}
+	case kind == "control":
+		answer.Rows = []string{strconv.Itoa(stutter.requests)}
+	}
+	answer.State = stutter.state
+	return answer
+}
+
+func kindOf(request proto.Request) string {
+	switch request := request.(type) {
+	case proto.Forward:
+		if request.IsCommit {
+			return "commit"
+		}
+		return "statement"
+	case proto.Start:
+		return "begin"
+	case proto.AbortTransaction:
+		return "rollback"
+	case proto.GetReport:
+		return "control"
+	}
+	return "setup"
+}
+
+// requestsIn are the requests that the engine sends in a state; in a failed transaction it only
+// rolls back.
+var requestsIn = map[proto.State]*rapid.Generator[proto.Request]{
+	proto.Idle:   rapid.SampledFrom([]proto.Request{proto.Forward{}, proto.Start{}, proto.SetValue{Name: "a"}, proto.GetReport{}}),
+	proto.Open:   rapid.SampledFrom([]proto.Request{proto.Forward{}, proto.Forward{IsCommit: true}, proto.SetValue{Name: "a"}, proto.AbortTransaction{}}),
+	proto.Broken: rapid.Just[proto.Request](proto.AbortTransaction{}),
+}
+
+// MIXED, TWICE, REFUSED, STALE: the late second answer to an earlier request on a connection was
+// taken for the answer to a statement, COMMIT or request for a report, as success or error.
+func TestNoSecondAnswerIsTaken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stutter := &stutter{t: t}
+		pool, _ := newScriptPool(nil, io.Discard)
+		pool.Dialer = stutter
+		conn, err := pool.Get(admissionRequest(time.Second, 1), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		state := proto.Idle
+		for range rapid.IntRange(1, 30).Draw(t, "length") {
+			request := requestsIn[state].Draw(t, "request")
+			first := len(stutter.received)
+			answer, err := conn.Ask(request, time.Second)
+			if err != nil {
+				if conn.IsAlive() {
+					t.Fatalf("the connection is used on after %v", err)
+				}
+				return
+			}
+			taken, own := stutter.received[first], stutter.own[first]
+			isAlike := taken.answer.Code == proto.OK && own.Code == proto.OK && taken.answer.Proof == own.Proof && len(own.Rows) == 0
+			if answer.State == proto.Broken && kindOf(request) != "commit" {
+				// The transaction is rolled back, whatever has become of the statement.
+				isAlike = taken.answer.Code != proto.OK
+			}
+			if taken.request != first+1 && !isAlike {
+				t.Fatalf("request %d (%s) got the answer to %d: %+v, not %+v", first+1, kindOf(request), taken.request, taken.answer, own)
+			}
+			state = answer.State
+		}
+	})
+}
