dbpool: an answer that does not match its request counts as lost

Callers got other rows and proofs than those of their statement, statements in a transaction succeeded without one, and a COMMIT was acknowledged by the answer to a WRITE or BEGIN (MIXED). Cause: a database may answer a request twice, the second time some ms late. Answers carry no request ID, so the second one was taken for that to whatever was asked next on the connection, and each answer after it for that to the request after its own.

dbpool.Conn now returns ErrLost for an answer that match.Stream refuses, for all users (sessions, transactions, promotion control). The connection is not used again: Ask fails, Put closes it. The verdicts are those of a lost answer: read retried, transaction rolled back with its connection, write and COMMIT in doubt (a read-only transaction's COMMIT aborted). A ROLLBACK that fails closes its connection too.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -18,42 +18,64 @@
 	reasonUnread match.Reason = "unread"
 )
 
-// Ask sends a request and returns its answer; see proto.DatabaseConn.
+// errUnusable means that an answer on the connection was lost before.
+var errUnusable = errors.Mark(errors.New("connection has lost an answer before"), proto.ErrLost)
+
+// Ask sends a request and returns its answer; see proto.DatabaseConn. An answer that can't
+// belong to the request is an error too. After an error the connection is not used any more.
 func (conn *Conn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
+	if conn.isLost {
+		return proto.Answer{}, errUnusable
+	}
 	answer, err := conn.DatabaseConn.Ask(request, timeout)
 	if err != nil {
-		conn.recordInvalid(request, err)
-		return answer, err
+		return proto.Answer{}, conn.lose(request, err)
+	}
+	if err := conn.check(request, answer); err != nil {
+		return proto.Answer{}, err
 	}
-	conn.check(request, answer)
 	return answer, nil
 }
 
-// AskAll sends requests together and returns their answers; see proto.DatabaseConn.
+// AskAll sends requests together and returns their answers; see Ask.
 func (conn *Conn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
+	if conn.isLost {
+		return nil, errUnusable
+	}
 	answers, err := conn.DatabaseConn.AskAll(requests, timeout)
 	if err != nil {
-		conn.recordInvalid(requests[len(requests)-1], err)
-		return answers, err
+		return nil, conn.lose(requests[len(requests)-1], err)
 	}
 	for i, answer := range answers {
-		conn.check(requests[i], answer)
+		if err := conn.check(requests[i], answer); err != nil {
+			return nil, err
+		}
 	}
 	return answers, nil
 }
 
-// check records an answer that does not match its request.
-func (conn *Conn) check(request proto.Request, answer proto.Answer) {
-	if reason := conn.stream.Check(request, answer); reason != "" {
-		conn.recordMismatch(request, reason, nil)
+// IsAlive reports whether the idle connection appears to be open and may be used.
+func (conn *Conn) IsAlive() bool { return !conn.isLost && conn.DatabaseConn.IsAlive() }
+
+// check returns an error if an answer can't belong to its request.
+func (conn *Conn) check(request proto.Request, answer proto.Answer) error {
+	reason := conn.stream.Check(request, answer)
+	if reason == "" {
+		return nil
 	}
+	conn.isLost = true
+	conn.recordMismatch(request, reason, nil)
+	_, kind := describe(request)
+	return errors.Mark(errors.Newf("answer on the connection does not match its request (%s): %s", kind, reason), proto.ErrLost)
 }
 
-// recordInvalid records an error that means that no answer was received, but something else.
-func (conn *Conn) recordInvalid(request proto.Request, err error) {
+// lose records that an answer was lost and returns its error.
+func (conn *Conn) lose(request proto.Request, err error) error {
+	conn.isLost = true
 	if errors.Is(err, proto.ErrInvalidAnswer) {
 		conn.recordMismatch(request, reasonInvalid, err)
 	}
+	return err
 }
 
 // recordMismatch counts and logs that what was received is not the answer to a request; nil is
--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -97,3 +97,24 @@
 	mustGet(c, pool).Put()
 	c.Check(stats.Counts(&counters.Answers), qt.DeepEquals, map[string]int64{"proofRepeated": 1, "invalid": 1, "unread": 1})
 }
+
+// MIXED: a connection whose answers were shifted by one was used on, and returned to its pool.
+func TestConnWithMismatchIsClosed(t *testing.T) {
+	c := qt.New(t)
+	script := &script{answers: []proto.Answer{proven("1", proto.Idle), proven("1", proto.Idle), proven("2", proto.Idle)}}
+	pool, _ := newScriptPool(script, io.Discard)
+	conn := mustGet(c, pool)
+	read := proto.Forward{ID: "1", Text: "READ x"}
+	_, err := conn.Ask(read, time.Second)
+	c.Assert(err, qt.IsNil)
+	for range 2 {
+		_, err = conn.Ask(read, time.Second)
+		c.Check(errors.Is(err, proto.ErrLost), qt.IsTrue)
+	}
+	_, err = conn.AskAll([]proto.Request{read}, time.Second)
+	c.Check(errors.Is(err, proto.ErrLost), qt.IsTrue)
+	c.Check(script.requests, qt.HasLen, 2)
+	c.Check(conn.IsAlive(), qt.IsFalse)
+	conn.Put()
+	c.Check(script.isClosed, qt.IsTrue)
+}
--- a/dbpool/conn.go
+++ b/dbpool/conn.go
@@ -22,6 +22,8 @@
 
 	pool   *Pool
 	stream match.Stream
+	// isLost is set once an answer was lost, or did not match its request.
+	isLost bool
 	// request is the one for which the connection was last taken.
 	request             admit.Request
 	lastUsedAt          time.Time
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -4,7 +4,8 @@
 // Rules (numbers as in docs/DESIGN.md; each package states its part):
 //
 //  14. A connection serves one transaction at a time. A connection whose state
-//     is in doubt is closed.
+//     is in doubt is closed, and so is one on which an answer did not match its request
+//     (package match).
 //  15. Package admit decides which requests wait, in which order, and which are
 //     refused.
 //  16. A VM opens no more connections to a database than its share of the
@@ -280,11 +281,11 @@
 }
 
 // Put returns a connection to the pool. It must not be in a transaction. Connections
-// above the limit are closed.
+// above the limit, and those that have lost an answer, are closed.
 func (pool *Pool) Put(conn *Conn) {
 	now := pool.Clock.Now()
 	pool.mu.Lock()
-	if pool.closed || pool.open > max(pool.Share(), 1) {
+	if conn.isLost || pool.closed || pool.open > max(pool.Share(), 1) {
 		pool.mu.Unlock()
 		pool.Discard(conn)
 		return
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -52,7 +52,7 @@
 		return
 	}
 	answer, err := conn.Ask(proto.AbortTransaction{}, rollbackTimeout)
-	if err != nil || answer.State != proto.Idle {
+	if err != nil || answer.Code != proto.OK || answer.State != proto.Idle {
 		conn.Discard()
 		return
 	}
