dbpool, match: an error that may be repeated is confirmed by barriers

A caller's write was committed though it was told that nothing was kept (REFUSED), or ran twice (TWICE), and later statements on the connection got other rows (MIXED). Cause: the late second answer of a refused request (BUSY, READONLY, LAGGING) was taken for the answer to the next one, which had run. Errors have no proof, so two of them are alike.

On a connection that has given an error, or where a SET may have been shifted, a further error is followed by barriers: SET of a value to what it is, RESET or, in a failed transaction, ROLLBACK. If the error was another request's, the barrier gets an answer of another kind and the request's counts as lost. The barriers are sent after the error, not with each request, so that only repeated errors cost a round trip, and nothing is sent without an error. Their number grows with the errors, for databases that repeat everything for a while.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -10,6 +10,9 @@
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
+// barrierTimeout limits the wait for the answers to barriers.
+const barrierTimeout = 500 * time.Millisecond
+
 // Reasons besides those of package match why what was received is not a request's answer.
 const (
 	// reasonInvalid means that it is not an answer.
@@ -34,6 +37,9 @@
 	if err := conn.check(request, answer); err != nil {
 		return proto.Answer{}, err
 	}
+	if count := conn.stream.Barriers(); count > 0 {
+		return conn.confirm(request, answer, count, timeout)
+	}
 	return answer, nil
 }
 
@@ -51,18 +57,63 @@
 			return nil, err
 		}
 	}
+	if count := conn.stream.Barriers(); count > 0 {
+		last := len(answers) - 1
+		if answers[last], err = conn.confirm(requests[last], answers[last], count, timeout); err != nil {
+			return nil, err
+		}
+	}
 	return answers, nil
 }
 
+// confirm sends barriers after an error and returns it if they are answered in their kind. If
+// it was not the request's answer, that comes instead. The state is that after the barriers:
+// in a failed transaction the only request without effect is the rollback.
+func (conn *Conn) confirm(request proto.Request, answer proto.Answer, count int, timeout time.Duration) (proto.Answer, error) {
+	barriers := make([]proto.Request, count)
+	for i := range barriers {
+		barriers[i] = conn.barrier()
+	}
+	if answer.State == proto.Broken {
+		barriers[0] = proto.AbortTransaction{}
+	}
+	answers, err := conn.DatabaseConn.AskAll(barriers, min(timeout, barrierTimeout))
+	if err != nil {
+		return proto.Answer{}, conn.lose(request, err)
+	}
+	for i, next := range answers {
+		if next.Code != proto.OK || conn.stream.Check(barriers[i], next) != "" {
+			return proto.Answer{}, conn.refuse(request, match.NoBarrier)
+		}
+		answer.State = next.State
+	}
+	conn.stream.Confirm()
+	return answer, nil
+}
+
+// barrier returns a request that changes nothing: it sets a value to what it is. Without values
+// it removes the prepared statements, which are prepared again when a session needs them.
+func (conn *Conn) barrier() proto.Request {
+	for name, value := range conn.Values {
+		return proto.SetValue{Name: name, Value: value}
+	}
+	clear(conn.Prepared)
+	return proto.Reset{}
+}
+
 // IsAlive reports whether the idle connection appears to be open and may be used.
 func (conn *Conn) IsAlive() bool { return !conn.isLost && conn.DatabaseConn.IsAlive() }
 
 // check returns an error if an answer can't belong to its request.
 func (conn *Conn) check(request proto.Request, answer proto.Answer) error {
-	reason := conn.stream.Check(request, answer)
-	if reason == "" {
-		return nil
+	if reason := conn.stream.Check(request, answer); reason != "" {
+		return conn.refuse(request, reason)
 	}
+	return nil
+}
+
+// refuse records that an answer is not that of its request and returns the error.
+func (conn *Conn) refuse(request proto.Request, reason match.Reason) error {
 	conn.isLost = true
 	conn.recordMismatch(request, reason, nil)
 	_, kind := describe(request)
--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -118,3 +118,97 @@
 	conn.Put()
 	c.Check(script.isClosed, qt.IsTrue)
 }
+
+var (
+	busy     = proto.Answer{Code: proto.Busy}
+	busyOpen = proto.Answer{Code: proto.Busy, State: proto.Open}
+	open     = proto.Answer{State: proto.Open}
+	failed   = proto.Answer{Code: proto.ReadOnly, State: proto.Broken}
+)
+
+// An error is followed by barriers only if there was an error before, or a setting. They have no
+// effect, and the state is that after them.
+func TestErrorsAreConfirmed(t *testing.T) {
+	statement, commit, start := proto.Forward{ID: "1", Text: "READ x"}, proto.Forward{ID: "2", Text: "COMMIT", IsCommit: true}, proto.Start{ID: "3"}
+	set, value, reset, rollback := proto.SetValue{Name: "a", Value: "1"}, map[string]string{"b": "2"}, proto.Reset{}, proto.AbortTransaction{}
+	setB := proto.SetValue{Name: "b", Value: "2"}
+	for name, test := range map[string]struct {
+		values   map[string]string
+		requests []proto.Request
+		answers  []proto.Answer
+		sent     []proto.Request
+		state    proto.State
+	}{
+		"first error": {
+			requests: []proto.Request{statement}, answers: []proto.Answer{busy}, sent: []proto.Request{statement},
+		},
+		"error after a setting": {
+			requests: []proto.Request{set, statement}, answers: []proto.Answer{{}, busy, {}, {}}, sent: []proto.Request{set, statement, reset, reset},
+		},
+		"second error": {
+			requests: []proto.Request{statement, statement}, answers: []proto.Answer{busy, busy, {}}, sent: []proto.Request{statement, statement, reset},
+		},
+		"third error": {
+			values:   value,
+			requests: []proto.Request{statement, statement, statement}, answers: []proto.Answer{busy, busy, {}, busy, {}, {}},
+			sent: []proto.Request{statement, statement, setB, statement, setB, setB},
+		},
+		"success after an error": {
+			requests: []proto.Request{statement, statement}, answers: []proto.Answer{busy, proven("1", proto.Idle)}, sent: []proto.Request{statement, statement},
+		},
+		"in a transaction": {
+			values:   value,
+			requests: []proto.Request{start, statement, statement}, answers: []proto.Answer{open, busyOpen, busyOpen, open},
+			sent: []proto.Request{start, statement, statement, setB}, state: proto.Open,
+		},
+		"statement that fails the transaction": {
+			requests: []proto.Request{start, statement, statement}, answers: []proto.Answer{open, busyOpen, failed},
+			sent: []proto.Request{start, statement, statement}, state: proto.Broken,
+		},
+		"commit that fails the transaction": {
+			values:   value,
+			requests: []proto.Request{start, statement, commit}, answers: []proto.Answer{open, busyOpen, failed, {}},
+			sent: []proto.Request{start, statement, commit, rollback},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			script := &script{answers: test.answers}
+			pool, _ := newScriptPool(script, io.Discard)
+			conn := mustGet(c, pool)
+			for name, value := range test.values {
+				conn.Values[name] = value
+			}
+			conn.Prepared["s"] = proto.Definition{}
+			var answer proto.Answer
+			for _, request := range test.requests {
+				var err error
+				answer, err = conn.Ask(request, time.Second)
+				c.Assert(err, qt.IsNil)
+			}
+			c.Check(script.requests, qt.DeepEquals, test.sent)
+			c.Check(answer.State, qt.Equals, test.state)
+			_, isPrepared := conn.Prepared["s"]
+			isReset := script.requests[len(script.requests)-1] == proto.Request(reset)
+			c.Check(isPrepared, qt.Equals, !isReset)
+		})
+	}
+}
+
+// A connection that has given many errors is closed, since each further one takes more barriers.
+func TestConnWithManyErrorsIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	script := &script{}
+	pool, _ := newScriptPool(script, io.Discard)
+	for count := 1; ; count++ {
+		script.answers = append([]proto.Answer{busy}, make([]proto.Answer, 64)...)
+		conn := mustGet(c, pool)
+		_, err := conn.Ask(proto.Forward{ID: "1", Text: "READ x"}, time.Second)
+		c.Assert(err, qt.IsNil)
+		conn.Put()
+		if script.isClosed {
+			c.Check(count, qt.Equals, 33)
+			return
+		}
+	}
+}
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -281,11 +281,11 @@
 }
 
 // Put returns a connection to the pool. It must not be in a transaction. Connections
-// above the limit, and those that have lost an answer, are closed.
+// above the limit, and those that have lost an answer or given many errors, are closed.
 func (pool *Pool) Put(conn *Conn) {
 	now := pool.Clock.Now()
 	pool.mu.Lock()
-	if conn.isLost || pool.closed || pool.open > max(pool.Share(), 1) {
+	if conn.isLost || conn.stream.IsExhausted() || pool.closed || pool.open > max(pool.Share(), 1) {
 		pool.mu.Unlock()
 		pool.Discard(conn)
 		return
--- a/dbpool/stutter_test.go
+++ b/dbpool/stutter_test.go
@@ -18,17 +18,23 @@
 	answer  proto.Answer
 }
 
-// stutter is a connection to a database that answers requests twice, at most one second answer
-// being under way at a time. It answers as the databases' protocol says.
+// stutter is a connection to a database that answers requests twice. At most one second answer
+// is under way at a time, unless delay is set. It answers as the databases' protocol says.
 type stutter struct {
-	t        *rapid.T
-	state    proto.State
-	proofs   int
-	requests int
-	// late arrives before the answer to request lateBefore.
-	late       arrival
-	lateBefore int
-	queue      []arrival
+	t *rapid.T
+	// refusesBegin is set if BEGIN may be refused.
+	refusesBegin bool
+	// delay is the number of requests after which all second answers arrive; 0 is none.
+	delay        int
+	hasNoReports bool
+	state        proto.State
+	proofs       int
+	requests     int
+	// late has the second answers by the request before whose answer they arrive, lastLate the
+	// last of these requests.
+	late     map[int][]arrival
+	lastLate int
+	queue    []arrival
 	// received has the answers in the order in which they were received, own those to the
 	// requests, by number from 1.
 	received []arrival
@@ -45,12 +51,12 @@
 	stutter.requests++
 	own := arrival{stutter.requests, stutter.answer(request)}
 	stutter.own = append(stutter.own, own.answer)
-	if stutter.lateBefore == stutter.requests {
-		stutter.queue = append(stutter.queue, stutter.late)
-	}
-	stutter.queue = append(stutter.queue, own)
-	if stutter.lateBefore <= stutter.requests && rapid.IntRange(0, 2).Draw(stutter.t, "repeat") == 0 {
-		stutter.late, stutter.lateBefore = own, stutter.requests+rapid.IntRange(1, 4).Draw(stutter.t, "delay")
+	stutter.queue = append(append(stutter.queue, stutter.late[stutter.requests]...), own)
+	switch {
+	case stutter.delay > 0:
+		stutter.repeat(own, stutter.delay)
+	case stutter.delay == 0 && stutter.lastLate <= stutter.requests && rapid.IntRange(0, 2).Draw(stutter.t, "repeat") == 0:
+		stutter.repeat(own, rapid.IntRange(1, 4).Draw(stutter.t, "delay"))
 	}
 	next := stutter.queue[0]
 	stutter.queue = stutter.queue[1:]
@@ -58,6 +64,15 @@
 	return next.answer, nil
 }
 
+// repeat sends an answer again, after a number of requests.
+func (stutter *stutter) repeat(own arrival, delay int) {
+	if stutter.late == nil {
+		stutter.late = make(map[int][]arrival)
+	}
+	stutter.lastLate = own.request + delay
+	stutter.late[stutter.lastLate] = append(stutter.late[stutter.lastLate], own)
+}
+
 func (stutter *stutter) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
 	var answers []proto.Answer
 	for _, request := range requests {
@@ -81,7 +96,7 @@
 		stutter.state = proto.Idle
 	case stutter.state == proto.Broken:
 		answer.Code = proto.Malformed
-	case isRefused && kind != "setup":
+	case isRefused && kind != "setup" && (kind != "begin" || stutter.refusesBegin):
 		answer.Code = rapid.SampledFrom([]proto.Code{proto.Busy, proto.ReadOnly, proto.Lagging, proto.Failed}).Draw(stutter.t, "code")
 		if stutter.state == proto.Open && rapid.Bool().Draw(stutter.t, "fails") {
 			stutter.state = proto.Broken
@@ -129,35 +144,59 @@
 // MIXED, TWICE, REFUSED, STALE: the late second answer to an earlier request on a connection was
 // taken for the answer to a statement, COMMIT or request for a report, as success or error.
 func TestNoSecondAnswerIsTaken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { (&stutter{t: t}).check() })
+}
+
+// PINNED: the late second answer to an earlier BEGIN was taken for that of one which was refused,
+// so that statements ran outside their transaction.
+func TestSecondAnswerToBeginOpensNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { (&stutter{t: t, refusesBegin: true}).check() })
+}
+
+// REFUSED: where a database answers all requests twice for a while, the second answers to an
+// error and to the barriers after it were taken for those to the next statement.
+func TestNoSecondAnswersOfBurstAreTaken(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		stutter := &stutter{t: t}
-		pool, _ := newScriptPool(nil, io.Discard)
-		pool.Dialer = stutter
-		conn, err := pool.Get(admissionRequest(time.Second, 1), nil)
-		if err != nil {
-			t.Fatal(err)
+		(&stutter{t: t, delay: rapid.IntRange(1, 8).Draw(t, "delay"), hasNoReports: true}).check()
+	})
+}
+
+// check sends requests until an answer is lost, and fails if one of another request is taken.
+func (stutter *stutter) check() {
+	t := stutter.t
+	pool, _ := newScriptPool(nil, io.Discard)
+	pool.Dialer = stutter
+	conn, err := pool.Get(admissionRequest(time.Second, 1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := proto.Idle
+	for range rapid.IntRange(1, 30).Draw(t, "length") {
+		request := requestsIn[state].Draw(t, "request")
+		if stutter.hasNoReports && kindOf(request) == "control" {
+			continue
 		}
-		state := proto.Idle
-		for range rapid.IntRange(1, 30).Draw(t, "length") {
-			request := requestsIn[state].Draw(t, "request")
-			first := len(stutter.received)
-			answer, err := conn.Ask(request, time.Second)
-			if err != nil {
-				if conn.IsAlive() {
-					t.Fatalf("the connection is used on after %v", err)
-				}
-				return
-			}
-			taken, own := stutter.received[first], stutter.own[first]
-			isAlike := taken.answer.Code == proto.OK && own.Code == proto.OK && taken.answer.Proof == own.Proof && len(own.Rows) == 0
-			if answer.State == proto.Broken && kindOf(request) != "commit" {
-				// The transaction is rolled back, whatever has become of the statement.
-				isAlike = taken.answer.Code != proto.OK
-			}
-			if taken.request != first+1 && !isAlike {
-				t.Fatalf("request %d (%s) got the answer to %d: %+v, not %+v", first+1, kindOf(request), taken.request, taken.answer, own)
+		first := len(stutter.received)
+		answer, err := conn.Ask(request, time.Second)
+		if err != nil {
+			if conn.IsAlive() {
+				t.Fatalf("the connection is used on after %v", err)
 			}
-			state = answer.State
+			return
 		}
-	})
+		if answer.Code != proto.OK && (kindOf(request) == "setup" || kindOf(request) == "rollback") {
+			// The engine closes the connection.
+			return
+		}
+		taken, own := stutter.received[first], stutter.own[first]
+		isAlike := taken.answer.Code == proto.OK && own.Code == proto.OK && taken.answer.Proof == own.Proof && len(own.Rows) == 0
+		if answer.State == proto.Broken && kindOf(request) != "commit" {
+			// The transaction is rolled back, whatever has become of the statement.
+			isAlike = taken.answer.Code != proto.OK
+		}
+		if taken.request != first+1 && !isAlike {
+			t.Fatalf("request %d (%s) got the answer to %d: %+v, not %+v", first+1, kindOf(request), taken.request, taken.answer, own)
+		}
+		state = answer.State
+	}
 }
--- a/match/match.go
+++ b/match/match.go
@@ -6,7 +6,9 @@
 // Rules (numbers as in docs/DESIGN.md; each package states its part):
 //
 //  14. What a request's answer shows is its kind, its proof and its state. A statement's
-//     success has a proof that the connection has not received before.
+//     success has a proof that the connection has not received before. An error is like
+//     another one: it is confirmed by barriers, requests without effect whose answers, plain
+//     successes, follow only if the error was the answer.
 package match
 
 import (
@@ -20,6 +22,9 @@
 // maxProofs is the number of a connection's last proofs that are compared with a new one.
 const maxProofs = 128
 
+// maxBarriers is the number of barriers above which a connection should be replaced.
+const maxBarriers = 32
+
 // Reason is why an answer can't belong to a request.
 type Reason string
 
@@ -35,6 +40,8 @@
 	UnexpectedRows Reason = "rows"
 	// WrongState means that the transaction state can't follow from the request.
 	WrongState Reason = "state"
+	// NoBarrier means that an error was not followed by the answer to a barrier.
+	NoBarrier Reason = "barrier"
 )
 
 // Stream is what the answers on one connection have shown so far. The zero value is a new
@@ -45,14 +52,26 @@
 	proofs []uint64
 	oldest int
 	state  proto.State
+	// hasErred is set after an error, hasBegun after a BEGIN.
+	hasErred, hasBegun bool
+	// plain counts the plain successes since the last answer of another kind, without those of
+	// barriers.
+	plain int
+	// isAfterError is set if the last answer of another kind was an error, which run plain
+	// successes have followed; longest is the largest such number.
+	isAfterError bool
+	run, longest int
+	// barriers is the number that the last answer needs.
+	barriers int
 }
 
 // Check records the next answer on the connection and returns why it can't belong to the
 // request; empty if it may.
 func (stream *Stream) Check(request proto.Request, answer proto.Answer) Reason {
 	previous := stream.state
-	stream.state = answer.State
+	stream.state, stream.barriers = answer.State, 0
 	if answer.Code != proto.OK {
+		stream.addError(request, answer)
 		return checkError(request, previous, answer.State)
 	}
 	switch request := request.(type) {
@@ -64,7 +83,7 @@
 	case proto.ForwardPrepared:
 		return stream.checkStatement(answer, previous)
 	case proto.Start:
-		return stream.checkPlain(answer, proto.Open)
+		return stream.checkBegin(answer)
 	case proto.AbortTransaction:
 		return stream.checkPlain(answer, proto.Idle)
 	case proto.GetReport, proto.Seal, proto.Unseal, proto.Demote:
@@ -75,6 +94,7 @@
 
 // checkStatement checks the success of a statement after which the state is want.
 func (stream *Stream) checkStatement(answer proto.Answer, want proto.State) Reason {
+	stream.plain, stream.isAfterError = 0, false
 	switch {
 	case answer.Proof == "":
 		return NoProof
@@ -97,11 +117,24 @@
 	case answer.State != want || want == proto.Broken:
 		return WrongState
 	}
+	stream.addPlain()
 	return ""
 }
 
+// checkBegin checks the success of BEGIN. It is told from other plain successes by its state,
+// but not from that of an earlier BEGIN.
+func (stream *Stream) checkBegin(answer proto.Answer) Reason {
+	reason := stream.checkPlain(answer, proto.Open)
+	if !stream.hasBegun {
+		stream.plain, stream.isAfterError = 0, false
+	}
+	stream.hasBegun = true
+	return reason
+}
+
 // checkReport checks the success of a request that returns the database's report.
 func (stream *Stream) checkReport(answer proto.Answer, want proto.State) Reason {
+	stream.plain, stream.isAfterError = 0, false
 	switch {
 	case answer.Proof != "":
 		stream.addProof(answer.Proof)
@@ -140,6 +173,47 @@
 	return false
 }
 
+// Barriers returns how many barriers have to be answered before the last answer is known to
+// be its request's. An error needs them if an earlier error may have been repeated, or if the
+// answers may be shifted since a plain success was repeated and the error is that of a request
+// before. They are more than the plain successes that followed an earlier error, so that a
+// repetition of all of them does not do, and those that may not have been received yet.
+func (stream *Stream) Barriers() int { return stream.barriers }
+
+// Confirm records that the barriers were answered in their kind.
+func (stream *Stream) Confirm() { stream.plain = 0 }
+
+// IsExhausted reports whether a further error on the connection would need many barriers.
+func (stream *Stream) IsExhausted() bool { return stream.longest >= maxBarriers }
+
+// addError counts an error. One that fails a transaction needs no barrier, unless it is that
+// of the commit, since the transaction is rolled back in any case.
+func (stream *Stream) addError(request proto.Request, answer proto.Answer) {
+	isDoubtful := stream.hasErred || stream.plain > 0
+	if isDoubtful && isConfirmed(request) && (answer.State != proto.Broken || endsTransaction(request)) {
+		stream.barriers = stream.longest + stream.plain + 1
+	}
+	stream.hasErred, stream.isAfterError, stream.plain, stream.run = true, true, 0, 0
+}
+
+// isConfirmed reports whether an error of the request has consequences. After an error of
+// another one the connection is closed.
+func isConfirmed(request proto.Request) bool {
+	switch request.(type) {
+	case proto.AbortTransaction, proto.SetValue, proto.Define, proto.Reset:
+		return false
+	}
+	return true
+}
+
+func (stream *Stream) addPlain() {
+	stream.plain++
+	if stream.isAfterError {
+		stream.run++
+		stream.longest = max(stream.longest, stream.run)
+	}
+}
+
 // addProof adds a proof and reports whether it is new.
 func (stream *Stream) addProof(proof string) bool {
 	hash := xxhash.Sum64String(proof)
