dbpool, match: a report that may be repeated is confirmed by a barrier

Reports have no proof.

A request for a report, seal, unseal or demotion on a connection that has given a report is sent with a barrier in the same write. If the report was an earlier one, the barrier gets the report and the answer counts as lost. A report has exactly one row; fakeup's had none and has one now.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,13 @@
 	if conn.isLost {
 		return proto.Answer{}, errUnusable
 	}
+	if conn.stream.NeedsBarrier(request) {
+		answers, err := conn.AskAll([]proto.Request{request}, timeout)
+		if err != nil {
+			return proto.Answer{}, err
+		}
+		return answers[0], nil
+	}
 	answer, err := conn.DatabaseConn.Ask(request, timeout)
 	if err != nil {
 		return proto.Answer{}, conn.lose(request, err)
@@ -48,17 +56,26 @@
 	if conn.isLost {
 		return nil, errUnusable
 	}
-	answers, err := conn.DatabaseConn.AskAll(requests, timeout)
+	last := len(requests) - 1
+	sent := requests
+	if conn.stream.NeedsBarrier(requests[last]) {
+		sent = append(slices.Clip(requests), conn.barrier())
+	}
+	answers, err := conn.DatabaseConn.AskAll(sent, timeout)
 	if err != nil {
-		return nil, conn.lose(requests[len(requests)-1], err)
+		return nil, conn.lose(requests[last], err)
 	}
-	for i, answer := range answers {
-		if err := conn.check(requests[i], answer); err != nil {
+	for i, request := range requests {
+		if err := conn.check(request, answers[i]); err != nil {
 			return nil, err
 		}
 	}
-	if count := conn.stream.Barriers(); count > 0 {
-		last := len(answers) - 1
+	count := conn.stream.Barriers()
+	if err := conn.checkBarriers(requests[last], sent[len(requests):], answers[len(requests):]); err != nil {
+		return nil, err
+	}
+	answers = answers[:len(requests)]
+	if count > 0 {
 		if answers[last], err = conn.confirm(requests[last], answers[last], count, timeout); err != nil {
 			return nil, err
 		}
@@ -81,16 +98,27 @@
 	if err != nil {
 		return proto.Answer{}, conn.lose(request, err)
 	}
-	for i, next := range answers {
-		if next.Code != proto.OK || conn.stream.Check(barriers[i], next) != "" {
-			return proto.Answer{}, conn.refuse(request, match.NoBarrier)
-		}
-		answer.State = next.State
+	if err := conn.checkBarriers(request, barriers, answers); err != nil {
+		return proto.Answer{}, err
 	}
-	conn.stream.Confirm()
+	answer.State = answers[count-1].State
 	return answer, nil
 }
 
+// checkBarriers returns an error if the barriers that were sent after a request are not answered
+// in their kind.
+func (conn *Conn) checkBarriers(request proto.Request, barriers []proto.Request, answers []proto.Answer) error {
+	for i, answer := range answers {
+		if answer.Code != proto.OK || conn.stream.Check(barriers[i], answer) != "" {
+			return conn.refuse(request, match.NoBarrier)
+		}
+	}
+	if len(barriers) > 0 {
+		conn.stream.Confirm()
+	}
+	return nil
+}
+
 // barrier returns a request that changes nothing: it sets a value to what it is. Without values
 // it removes the prepared statements, which are prepared again when a session needs them.
 func (conn *Conn) barrier() proto.Request {
--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -212,3 +212,23 @@
 		}
 	}
 }
+
+// A request for a report is sent with a barrier if there was a report before; that is not taken
+// for the answer again.
+func TestReportsAreConfirmed(t *testing.T) {
+	c := qt.New(t)
+	report := func(text string) proto.Answer { return proto.Answer{Rows: []string{text}} }
+	status, reset := proto.GetReport{}, proto.Reset{}
+	script := &script{answers: []proto.Answer{report("1"), report("2"), {}, busy, {}, report("2"), report("4")}}
+	pool, counters := newScriptPool(script, io.Discard)
+	conn := mustGet(c, pool)
+	for _, want := range []proto.Answer{report("1"), report("2"), busy} {
+		answer, err := conn.Ask(status, time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Check(answer, qt.DeepEquals, want)
+	}
+	_, err := conn.Ask(status, time.Second)
+	c.Check(errors.Is(err, proto.ErrLost), qt.IsTrue)
+	c.Check(script.requests, qt.DeepEquals, []proto.Request{status, status, reset, status, reset, status, reset})
+	c.Check(stats.Counts(&counters.Answers), qt.DeepEquals, map[string]int64{"barrier": 1})
+}
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -428,7 +428,7 @@
 			upstream.primary = ""
 		}
 	}
-	return proto.Answer{Report: dbset.Report{
+	return proto.Answer{Rows: []string{"report"}, Report: dbset.Report{
 		Primary: database.leads, Term: database.term,
 		Received: database.log[len(database.log)-1].position, SealedTerm: database.sealedTerm,
 		Lag: database.Lag, Connections: database.Open,
--- a/match/match.go
+++ b/match/match.go
@@ -6,9 +6,9 @@
 // Rules (numbers as in docs/DESIGN.md; each package states its part):
 //
 //  14. What a request's answer shows is its kind, its proof and its state. A statement's
-//     success has a proof that the connection has not received before. An error is like
-//     another one: it is confirmed by barriers, requests without effect whose answers, plain
-//     successes, follow only if the error was the answer.
+//     success has a proof that the connection has not received before. Errors are alike, and
+//     so are reports: they are confirmed by barriers, requests without effect whose answers,
+//     plain successes, follow only if theirs came before.
 package match
 
 import (
@@ -36,11 +36,11 @@
 	NoProof Reason = "noProof"
 	// UnexpectedProof means that a request which is no statement has an answer with a proof.
 	UnexpectedProof Reason = "unexpectedProof"
-	// UnexpectedRows means that an answer has rows, or a report more than one.
+	// UnexpectedRows means that an answer has rows, or a report not one row.
 	UnexpectedRows Reason = "rows"
 	// WrongState means that the transaction state can't follow from the request.
 	WrongState Reason = "state"
-	// NoBarrier means that an error was not followed by the answer to a barrier.
+	// NoBarrier means that an answer was not followed by the answer to a barrier.
 	NoBarrier Reason = "barrier"
 )
 
@@ -52,8 +52,8 @@
 	proofs []uint64
 	oldest int
 	state  proto.State
-	// hasErred is set after an error, hasBegun after a BEGIN.
-	hasErred, hasBegun bool
+	// hasErred is set after an error, hasBegun after a BEGIN, hasReported after a report.
+	hasErred, hasBegun, hasReported bool
 	// plain counts the plain successes since the last answer of another kind, without those of
 	// barriers.
 	plain int
@@ -134,12 +134,12 @@
 
 // checkReport checks the success of a request that returns the database's report.
 func (stream *Stream) checkReport(answer proto.Answer, want proto.State) Reason {
-	stream.plain, stream.isAfterError = 0, false
+	stream.plain, stream.isAfterError, stream.hasReported = 0, false, true
 	switch {
 	case answer.Proof != "":
 		stream.addProof(answer.Proof)
 		return UnexpectedProof
-	case len(answer.Rows) > 1:
+	case len(answer.Rows) != 1:
 		return UnexpectedRows
 	case answer.State != want:
 		return WrongState
@@ -173,6 +173,16 @@
 	return false
 }
 
+// NeedsBarrier reports whether a barrier has to be sent with the request, since its success may
+// be like an earlier one.
+func (stream *Stream) NeedsBarrier(request proto.Request) bool {
+	switch request.(type) {
+	case proto.GetReport, proto.Seal, proto.Unseal, proto.Demote:
+		return stream.hasReported
+	}
+	return false
+}
+
 // Barriers returns how many barriers have to be answered before the last answer is known to
 // be its request's. An error needs them if an earlier error may have been repeated, or if the
 // answers may be shifted since a plain success was repeated and the error is that of a request
--- a/match/match_test.go
+++ b/match/match_test.go
@@ -47,6 +47,7 @@
 		"definition by a report":          {[]exchange{{proto.Define{}, proto.Answer{Rows: []string{"replica"}}}}, match.UnexpectedRows},
 		"report with a proof":             {[]exchange{{proto.GetReport{}, proven("a", proto.Idle)}}, match.UnexpectedProof},
 		"report with two rows":            {[]exchange{{proto.Seal{}, proto.Answer{Rows: []string{"a", "b"}}}}, match.UnexpectedRows},
+		"report without a row":            {[]exchange{{proto.GetReport{}, plain}}, match.UnexpectedRows},
 		"rollback that leaves it open":    {[]exchange{open, {proto.AbortTransaction{}, opened}}, match.WrongState},
 		"error that opens":                {[]exchange{{begin, proto.Answer{Code: proto.Busy, State: proto.Open}}}, match.WrongState},
 		"error that ends a transaction":   {[]exchange{open, {read, failed}}, match.WrongState},
