dbpool, match: a BEGIN that may be repeated is confirmed by a barrier

The late second answer to an earlier BEGIN on the connection could be taken for that of a BEGIN which was refused (LAGGING, READONLY). The transaction's first statement would then run outside any transaction (PINNED); a write would be kept though its caller was told that the transaction was aborted (REFUSED).

A BEGIN on a connection on which one has succeeded is sent with a barrier in the same write, if the connection has a value: SET of that value to what it is. Without values nothing is sent, since RESET would remove what the transaction's statements were prepared with; this case stays possible.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -31,7 +31,7 @@
 	if conn.isLost {
 		return proto.Answer{}, errUnusable
 	}
-	if conn.stream.NeedsBarrier(request) {
+	if conn.needsBarrier(request) {
 		answers, err := conn.AskAll([]proto.Request{request}, timeout)
 		if err != nil {
 			return proto.Answer{}, err
@@ -58,7 +58,7 @@
 	}
 	last := len(requests) - 1
 	sent := requests
-	if conn.stream.NeedsBarrier(requests[last]) {
+	if conn.needsBarrier(requests[last]) {
 		sent = append(slices.Clip(requests), conn.barrier())
 	}
 	answers, err := conn.DatabaseConn.AskAll(sent, timeout)
@@ -114,11 +114,20 @@
 		}
 	}
 	if len(barriers) > 0 {
-		conn.stream.Confirm()
+		conn.stream.Confirm(request)
 	}
 	return nil
 }
 
+// needsBarrier reports whether a barrier is sent with the request. After BEGIN only SET will do:
+// RESET would remove what the transaction's statements were prepared with.
+func (conn *Conn) needsBarrier(request proto.Request) bool {
+	if _, isStart := request.(proto.Start); isStart && len(conn.Values) == 0 {
+		return false
+	}
+	return conn.stream.NeedsBarrier(request)
+}
+
 // barrier returns a request that changes nothing: it sets a value to what it is. Without values
 // it removes the prepared statements, which are prepared again when a session needs them.
 func (conn *Conn) barrier() proto.Request {
--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -232,3 +232,37 @@
 	c.Check(script.requests, qt.DeepEquals, []proto.Request{status, status, reset, status, reset, status, reset})
 	c.Check(stats.Counts(&counters.Answers), qt.DeepEquals, map[string]int64{"barrier": 1})
 }
+
+// PINNED: a refused BEGIN seemed to open a transaction by the late second answer to an earlier
+// one, so that a statement would run outside. It is sent with a barrier where the connection
+// has a value.
+func TestSecondBeginIsConfirmed(t *testing.T) {
+	c := qt.New(t)
+	script := &script{answers: []proto.Answer{open, {}, open, open, {}, open, busy}}
+	pool, _ := newScriptPool(script, io.Discard)
+	conn := mustGet(c, pool)
+	conn.Values["b"] = "2"
+	start, rollback, set := proto.Start{ID: "1"}, proto.AbortTransaction{}, proto.SetValue{Name: "b", Value: "2"}
+	for _, request := range []proto.Request{start, rollback, start, rollback} {
+		_, err := conn.Ask(request, time.Second)
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := conn.Ask(start, time.Second)
+	c.Check(errors.Is(err, proto.ErrLost), qt.IsTrue)
+	c.Check(script.requests, qt.DeepEquals, []proto.Request{start, rollback, start, set, rollback, start, set})
+}
+
+// A transaction begins with the prepared statements that were set before: no RESET is sent.
+func TestBeginKeepsPreparedStatements(t *testing.T) {
+	c := qt.New(t)
+	script := &script{answers: []proto.Answer{open, {}, open}}
+	pool, _ := newScriptPool(script, io.Discard)
+	conn := mustGet(c, pool)
+	conn.Prepared["s"] = proto.Definition{}
+	for _, request := range []proto.Request{proto.Start{}, proto.AbortTransaction{}, proto.Start{}} {
+		_, err := conn.Ask(request, time.Second)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(conn.Prepared, qt.HasLen, 1)
+	c.Check(script.requests, qt.HasLen, 3)
+}
--- a/match/match.go
+++ b/match/match.go
@@ -179,6 +179,8 @@
 	switch request.(type) {
 	case proto.GetReport, proto.Seal, proto.Unseal, proto.Demote:
 		return stream.hasReported
+	case proto.Start:
+		return stream.hasBegun
 	}
 	return false
 }
@@ -190,8 +192,14 @@
 // repetition of all of them does not do, and those that may not have been received yet.
 func (stream *Stream) Barriers() int { return stream.barriers }
 
-// Confirm records that the barriers were answered in their kind.
-func (stream *Stream) Confirm() { stream.plain = 0 }
+// Confirm records that the barriers after a request were answered in their kind. One after a
+// BEGIN that opened the transaction counts as a plain success: if that was a second answer,
+// the barrier's has not been received yet.
+func (stream *Stream) Confirm(request proto.Request) {
+	if _, isStart := request.(proto.Start); !isStart || stream.state != proto.Open {
+		stream.plain = 0
+	}
+}
 
 // IsExhausted reports whether a further error on the connection would need many barriers.
 func (stream *Stream) IsExhausted() bool { return stream.longest >= maxBarriers }
