dbpool, engine: no request is sent on a connection with unread data

A COMMIT or write was in doubt, and so not retried by its caller, although the second answer to an earlier request had arrived before it was sent: only idle connections were checked for unread data, when they were taken from the pool.

dbpool.Conn now checks before each request of a use but the first, which Pool.Get has checked. The request is not sent and fails with ErrNotSent: a write is retried on another connection, a COMMIT is answered ABORTED, which holds since the transaction is rolled back with its connection; the database doesn't count as failing.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -18,21 +18,27 @@
 const (
 	// reasonInvalid means that it is not an answer.
 	reasonInvalid match.Reason = "invalid"
-	// reasonUnread means that an idle connection has received data.
+	// reasonUnread means that a connection has received data between two requests.
 	reasonUnread match.Reason = "unread"
 )
 
-// errUnusable means that an answer on the connection was lost before.
-var errUnusable = errors.Mark(errors.New("connection has lost an answer before"), proto.ErrLost)
+// ErrNotSent marks errors of requests that were not sent. They are marked as proto.ErrLost too.
+var ErrNotSent = errors.New("request was not sent")
+
+var (
+	errUnusable = errors.Mark(errors.Mark(errors.New("connection has lost an answer before"), proto.ErrLost), ErrNotSent)
+	errUnread   = errors.Mark(errors.Mark(errors.New("connection has received data ahead of the request"), proto.ErrLost), ErrNotSent)
+)
 
 // Ask sends a request and returns its answer; see proto.DatabaseConn. An answer that can't
-// belong to the request is an error too. After an error the connection is not used any more.
+// belong to the request is an error too. An error marked as ErrNotSent means that the request
+// did not run. After an error the connection is not used any more.
 func (conn *Conn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
-	if conn.isLost {
-		return proto.Answer{}, errUnusable
+	if err := conn.checkUnread(request); err != nil {
+		return proto.Answer{}, err
 	}
 	if conn.needsBarrier(request) {
-		answers, err := conn.AskAll([]proto.Request{request}, timeout)
+		answers, err := conn.askAll([]proto.Request{request}, timeout)
 		if err != nil {
 			return proto.Answer{}, err
 		}
@@ -53,9 +59,14 @@
 
 // AskAll sends requests together and returns their answers; see Ask.
 func (conn *Conn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
-	if conn.isLost {
-		return nil, errUnusable
+	if err := conn.checkUnread(requests[0]); err != nil {
+		return nil, err
 	}
+	return conn.askAll(requests, timeout)
+}
+
+// askAll is AskAll without the check of unread data.
+func (conn *Conn) askAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
 	last := len(requests) - 1
 	sent := requests
 	if conn.needsBarrier(requests[last]) {
@@ -141,6 +152,23 @@
 // IsAlive reports whether the idle connection appears to be open and may be used.
 func (conn *Conn) IsAlive() bool { return !conn.isLost && conn.DatabaseConn.IsAlive() }
 
+// checkUnread returns an error if the request must not be sent, since the connection has lost an
+// answer or has received data after the last one. Pool.Get has checked that for the first
+// request.
+func (conn *Conn) checkUnread(request proto.Request) error {
+	isChecked := conn.isChecked
+	conn.isChecked = false
+	switch {
+	case conn.isLost:
+		return errUnusable
+	case !isChecked && conn.HasUnread():
+		conn.isLost = true
+		conn.recordMismatch(request, reasonUnread, nil)
+		return errUnread
+	}
+	return nil
+}
+
 // check returns an error if an answer can't belong to its request.
 func (conn *Conn) check(request proto.Request, answer proto.Answer) error {
 	if reason := conn.stream.Check(request, answer); reason != "" {
--- a/dbpool/conn.go
+++ b/dbpool/conn.go
@@ -24,6 +24,8 @@
 	stream match.Stream
 	// isLost is set once an answer was lost, or did not match its request.
 	isLost bool
+	// isChecked is set while no request has followed the check of Pool.Get.
+	isChecked bool
 	// request is the one for which the connection was last taken.
 	request             admit.Request
 	lastUsedAt          time.Time
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -132,6 +132,9 @@
 			pool.Discard(conn)
 			continue
 		}
+		if conn != nil {
+			conn.isChecked = true
+		}
 		if !errors.Is(err, errRetry) {
 			return conn, err
 		}
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -143,7 +143,7 @@
 		return nil, err
 	}
 	if err := execution.session.restore(conn, execution.call, false); err != nil {
-		execution.group.Failed(member.ID, false, execution.session.engine.now())
+		execution.recordFailure(member.ID, err)
 		conn.Discard()
 		return nil, err
 	}
@@ -182,7 +182,7 @@
 	began := clock.Now()
 	answer, err := conn.Ask(request, timeout)
 	if err != nil {
-		execution.group.Failed(id, false, clock.Now())
+		execution.recordFailure(id, err)
 		return answer, err
 	}
 	now := clock.Now()
@@ -200,6 +200,21 @@
 	return answer, nil
 }
 
+// recordFailure records with the group that a request to a database failed, if it was sent.
+func (execution *execution) recordFailure(id string, err error) {
+	if !errors.Is(err, dbpool.ErrNotSent) {
+		execution.group.Failed(id, false, execution.session.engine.now())
+	}
+}
+
+// lossReason returns why a request has no answer: "connectionLost" if it was not sent.
+func lossReason(err error) string {
+	if errors.Is(err, dbpool.ErrNotSent) {
+		return "connectionLost"
+	}
+	return "answerLost"
+}
+
 func (execution *execution) refuseBusy(reason string) proto.Answer {
 	return execution.session.refuseAfter(execution, execution.call, proto.Busy, reason)
 }
--- a/engine/single.go
+++ b/engine/single.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bramleydoor/bramleydoor/acks"
 	"github.com/bramleydoor/bramleydoor/config"
+	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/posn"
@@ -71,7 +74,7 @@
 	answer, err := execution.send(conn, execution.session.request(execution.call, choice.MinPosition), timeout)
 	if err != nil {
 		conn.Discard()
-		return answer, "answerLost"
+		return answer, lossReason(err)
 	}
 	if answer.Code == proto.UnknownName {
 		clear(conn.Prepared)
@@ -123,7 +126,10 @@
 	answer, err := execution.send(conn, execution.session.request(execution.call, posn.Position{}), max(execution.remaining(), minAttemptTimeout))
 	if err != nil {
 		conn.Discard()
-		return execution.answerInDoubt(primary.ID, "answerLost"), ""
+		if errors.Is(err, dbpool.ErrNotSent) {
+			return answer, lossReason(err)
+		}
+		return execution.answerInDoubt(primary.ID, lossReason(err)), ""
 	}
 	if answer.Code == proto.UnknownName {
 		clear(conn.Prepared)
--- a/engine/stutter_test.go
+++ b/engine/stutter_test.go
@@ -21,6 +21,8 @@
 	// repeatBefore is the number of the request before whose answer this one's second answer
 	// arrives; 0 is none.
 	repeatBefore int
+	// isRepeatedAtOnce is set if the second answer arrives before the next request is sent.
+	isRepeatedAtOnce bool
 }
 
 // stutter opens connections to databases that answer requests twice, the second time late.
@@ -37,6 +39,7 @@
 	outcomes map[int]outcome
 	count    int
 	state    proto.State
+	isUnread bool
 	late     map[int][]proto.Answer
 	queue    []proto.Answer
 }
@@ -65,10 +68,17 @@
 	if outcome.repeatBefore > 0 {
 		conn.late[outcome.repeatBefore] = append(conn.late[outcome.repeatBefore], answer)
 	}
+	if outcome.isRepeatedAtOnce {
+		conn.queue, conn.isUnread = append(conn.queue, answer), true
+	}
 	answer, conn.queue = conn.queue[0], conn.queue[1:]
 	return answer, nil
 }
 
+func (conn *stutterConn) HasUnread() bool { return conn.isUnread }
+
+func (conn *stutterConn) IsAlive() bool { return !conn.isUnread && conn.DatabaseConn.IsAlive() }
+
 func (conn *stutterConn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
 	var answers []proto.Answer
 	for _, request := range requests {
@@ -237,7 +247,7 @@
 func TestRepeatedErrorIsNotTheNextStatementsAnswer(t *testing.T) {
 	for _, code := range []proto.Code{proto.Busy, proto.ReadOnly, proto.Lagging, proto.Failed} {
 		for _, before := range []int{2, 3} {
-			withStutter(t, map[int]outcome{1: {code, before}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+			withStutter(t, map[int]outcome{1: {refusal: code, repeatBefore: before}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
 				for _, text := range []string{"WRITE a 1", "WRITE b 1"} {
 					fixture.check(c, text, caller.Ask(write, text))
 					fixture.renewLease()
@@ -251,7 +261,7 @@
 // TWICE: a statement of a transaction was run again, since the late second answer of its refusal
 // was taken for that to its retry.
 func TestStatementIsNotRunTwiceInTransaction(t *testing.T) {
-	withStutter(t, map[int]outcome{2: {proto.Busy, 3}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+	withStutter(t, map[int]outcome{2: {refusal: proto.Busy, repeatBefore: 3}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
 		caller.Ask(begin, "BEGIN")
 		answer := caller.Ask(write, "WRITE a 1")
 		fixture.check(c, "WRITE a 1", answer)
@@ -267,7 +277,7 @@
 	for _, code := range []proto.Code{proto.Busy, proto.Lagging} {
 		// The first write is refused and retried, then come BEGIN, the write and COMMIT.
 		for _, before := range []int{5, 6, 7} {
-			withStutter(t, map[int]outcome{1: {code, before}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+			withStutter(t, map[int]outcome{1: {refusal: code, repeatBefore: before}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
 				fixture.check(c, "WRITE a 1", caller.Ask(write, "WRITE a 1"))
 				caller.Ask(begin, "BEGIN")
 				caller.Ask(write, "WRITE b 1")
@@ -283,7 +293,7 @@
 
 // ONE, STALE: the late second report of a database was taken for its present one.
 func TestEarlierReportIsNotBelieved(t *testing.T) {
-	for _, outcomes := range []map[int]outcome{{1: {repeatBefore: 2}}, {1: {proto.Busy, 2}}} {
+	for _, outcomes := range []map[int]outcome{{1: {repeatBefore: 2}}, {1: {refusal: proto.Busy, repeatBefore: 2}}} {
 		withSessionOf(t, newFixture, "current", func(c *qt.C, fixture *fixture, _ *fakeup.CallerConn) {
 			pool := fixture.stutterPools(outcomes).Pool("a")
 			ask := func(request proto.Request) (dbset.Report, error) {
@@ -297,3 +307,29 @@
 		})
 	}
 }
+
+// A COMMIT was sent after a second answer had arrived on its connection, and was in doubt; now it
+// is not sent, so that its caller is told to retry.
+func TestCommitIsNotSentAfterSecondAnswer(t *testing.T) {
+	withStutter(t, map[int]outcome{2: {isRepeatedAtOnce: true}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		caller.Ask(begin, "BEGIN")
+		caller.Ask(write, "WRITE a 1")
+		c.Check(caller.Ask(commit, "COMMIT").Code, qt.Equals, proto.Aborted)
+		c.Check(runTexts(fixture.upstream.Runs()), qt.DeepEquals, []string{"a WRITE a 1"})
+		caller.Ask(begin, "BEGIN")
+		caller.Ask(write, "WRITE a 1")
+		c.Check(caller.Ask(commit, "COMMIT").Code, qt.Equals, proto.OK)
+	})
+}
+
+// A write was in doubt since the setting before it on its connection had been answered twice; now
+// it is sent on another connection.
+func TestWriteIsSentElsewhereAfterSecondAnswer(t *testing.T) {
+	withStutter(t, map[int]outcome{1: {isRepeatedAtOnce: true}}, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		caller.Ask(proto.Assign{Name: "a", Value: "1"}, "")
+		answer := caller.Ask(write, "WRITE a 1")
+		c.Check(answer.Code, qt.Equals, proto.OK)
+		fixture.check(c, "WRITE a 1", answer)
+		c.Check(runTexts(fixture.upstream.Runs()), qt.DeepEquals, []string{"a WRITE a 1"})
+	})
+}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bramleydoor/bramleydoor/config"
 	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/dbset"
@@ -114,7 +116,7 @@
 	if err != nil {
 		// No commit was sent, so closing the connection rolls the transaction back.
 		transaction.discardConn()
-		return session.refuse(call, proto.Aborted, "answerLost")
+		return session.refuse(call, proto.Aborted, lossReason(err))
 	}
 	if answer.Code == proto.OK {
 		return answer
@@ -206,7 +208,7 @@
 	switch {
 	case err != nil:
 		conn.Discard()
-		return "answerLost"
+		return lossReason(err)
 	case answer.Code != proto.OK:
 		if answer.Code == proto.ReadOnly {
 			execution.group.Demoted(choice.Member.ID)
@@ -229,7 +231,7 @@
 	answer, err := execution.session.restoreAndStart(conn, execution.call, start)
 	now := clock.Now()
 	if err != nil {
-		execution.group.Failed(id, false, now)
+		execution.recordFailure(id, err)
 		return answer, err
 	}
 	execution.group.Answered(id, answer.Position, began, now)
@@ -240,7 +242,8 @@
 }
 
 // commit commits the open transaction. If the answer is lost, the commit is in doubt if
-// the transaction may have written, and otherwise answered as Aborted. A successful
+// the transaction may have written, and otherwise answered as Aborted, and so is one that
+// could not be sent. A successful
 // commit with writes is confirmed first (rule 7). Codes by which the commit did not run
 // are answered as Aborted; any other answer is passed on unchanged.
 func (session *Session) commit(call proto.Call) proto.Answer {
@@ -267,10 +270,10 @@
 	session.transaction = nil
 	if err != nil {
 		conn.Discard()
-		if transaction.mayHaveWritten {
-			return execution.answerInDoubt(conn.Member.ID, "answerLost")
+		if transaction.mayHaveWritten && !errors.Is(err, dbpool.ErrNotSent) {
+			return execution.answerInDoubt(conn.Member.ID, lossReason(err))
 		}
-		return session.refuse(call, proto.Aborted, "answerLost")
+		return session.refuse(call, proto.Aborted, lossReason(err))
 	}
 	session.releaseAfterCommit(conn, answer)
 	switch {
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -10,29 +10,42 @@
 // neither data nor an end of stream. A socket that fails after the check shows it only
 // when it is used. The deadlines of earlier requests have no effect.
 func IsIdle(socket syscall.Conn) bool {
-	_, err := peek(socket)
-	return errors.Is(err, syscall.EAGAIN)
+	peeker, err := NewPeeker(socket)
+	return err == nil && peeker.IsIdle()
 }
 
-// HasData reports whether a socket has received data that was not read.
-func HasData(socket syscall.Conn) bool {
-	count, err := peek(socket)
-	return err == nil && count > 0
+// Peeker checks one socket repeatedly, without allocations. It is not safe for concurrent use.
+type Peeker struct {
+	raw    syscall.RawConn
+	peek   func(fd uintptr)
+	buffer [1]byte
+	count  int
+	err    error
 }
 
-// peek returns the number of bytes that can be read at once, up to 1; 0 is the end of the
-// stream.
-func peek(socket syscall.Conn) (int, error) {
+// NewPeeker returns a peeker of a socket.
+func NewPeeker(socket syscall.Conn) (*Peeker, error) {
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	var buffer [1]byte
-	var count int
-	var peekErr error
-	// Read would fail without a call of the function once the read deadline has passed.
-	err = raw.Control(func(fd uintptr) {
-		count, _, peekErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return count, errors.Join(err, peekErr)
+	peeker := &Peeker{raw: raw}
+	peeker.peek = func(fd uintptr) {
+		peeker.count, _, peeker.err = syscall.Recvfrom(int(fd), peeker.buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return peeker, nil
+}
+
+// IsIdle reports whether the socket has received neither data nor an end of stream.
+func (peeker *Peeker) IsIdle() bool {
+	return peeker.run() == nil && errors.Is(peeker.err, syscall.EAGAIN)
 }
+
+// HasData reports whether the socket has received data that was not read.
+func (peeker *Peeker) HasData() bool {
+	return peeker.run() == nil && peeker.err == nil && peeker.count > 0
+}
+
+// run peeks at the socket. It uses Control, since Read would fail without a call of the function
+// once the read deadline has passed.
+func (peeker *Peeker) run() error { return peeker.raw.Control(peeker.peek) }
