engine, dbpool: prepared statements are named by their connection

Callers with two prepared statements, or two callers, had one of them run in place of the other (PINNED) where the 64-bit xxhashes of the texts were equal.

Cause: a statement's name on database connections was the hash of its text. xxhash64 takes 32 bytes at a time in four lanes, each of which can be brought to any state by the next 8 bytes, so texts with equal hashes are easily constructed, by a caller too: the test has a pair of 64 letters.

Fix: a connection numbers its statements, and maps a definition to its name. Two definitions can't share a name, and a name isn't used again on the connection, so that no late PREPARE or RESET can give it another statement. Sessions with the same definition still share one.

--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -179,7 +179,7 @@
 			for name, value := range test.values {
 				conn.Values[name] = value
 			}
-			conn.Prepared["s"] = proto.Definition{}
+			conn.Prepared[proto.Definition{Text: "q"}] = conn.NewName()
 			var answer proto.Answer
 			for _, request := range test.requests {
 				var err error
@@ -188,7 +188,7 @@
 			}
 			c.Check(script.requests, qt.DeepEquals, test.sent)
 			c.Check(answer.State, qt.Equals, test.state)
-			_, isPrepared := conn.Prepared["s"]
+			_, isPrepared := conn.Prepared[proto.Definition{Text: "q"}]
 			isReset := script.requests[len(script.requests)-1] == proto.Request(reset)
 			c.Check(isPrepared, qt.Equals, !isReset)
 		})
@@ -258,7 +258,7 @@
 	script := &script{answers: []proto.Answer{open, {}, open}}
 	pool, _ := newScriptPool(script, io.Discard)
 	conn := mustGet(c, pool)
-	conn.Prepared["s"] = proto.Definition{}
+	conn.Prepared[proto.Definition{Text: "q"}] = conn.NewName()
 	for _, request := range []proto.Request{proto.Start{}, proto.AbortTransaction{}, proto.Start{}} {
 		_, err := conn.Ask(request, time.Second)
 		c.Assert(err, qt.IsNil)
--- a/dbpool/conn.go
+++ b/dbpool/conn.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/admit"
@@ -15,10 +16,10 @@
 	Member dbset.Member
 	// Team is the team as which the connection was opened.
 	Team string
-	// Values are the session settings (SET) and Prepared the prepared statements that
-	// were set on the connection, by name.
+	// Values are the session settings (SET) on the connection, by name. Prepared has the
+	// names of its prepared statements.
 	Values   map[string]string
-	Prepared map[string]proto.Definition
+	Prepared map[proto.Definition]string
 
 	pool   *Pool
 	stream match.Stream
@@ -32,6 +33,15 @@
 	isIdleInTransaction bool
 	// uses counts the uses that have ended.
 	uses uint64
+	// names counts the names that NewName has returned.
+	names uint64
+}
+
+// NewName returns a name for a prepared statement that the connection has not had before,
+// also before a reset.
+func (conn *Conn) NewName() string {
+	conn.names++
+	return "s" + strconv.FormatUint(conn.names, 10)
 }
 
 // Use identifies one use of a connection, from Pool.Get until Put or Discard. The zero
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -250,7 +250,7 @@
 	if isOpen {
 		return &Conn{
 			DatabaseConn: databaseConn, Member: pool.Member, Team: request.Team, pool: pool,
-			Values: make(map[string]string), Prepared: make(map[string]proto.Definition),
+			Values: make(map[string]string), Prepared: make(map[proto.Definition]string),
 		}, nil
 	}
 	switch {
--- a/engine/restore.go
+++ b/engine/restore.go
@@ -1,11 +1,8 @@
 package engine
 
 import (
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
@@ -19,21 +16,11 @@
 	maxPreparedPerConn = 200
 )
 
-// preparedName returns the name under which a definition is prepared on connections. It
-// is derived from the definition, since callers' own names collide and sessions with the
-// same definition share one prepared statement.
-func preparedName(definition proto.Definition) string {
-	kind := "r"
-	if definition.Writes {
-		kind = "w"
-	}
-	return kind + strconv.FormatUint(xxhash.Sum64String(definition.Text), 36)
-}
-
-// request returns the database request for a call.
-func (session *Session) request(call proto.Call, minPosition posn.Position) proto.Request {
+// request returns the database request for a call on a connection that restore has prepared
+// for it.
+func (session *Session) request(conn *dbpool.Conn, call proto.Call, minPosition posn.Position) proto.Request {
 	if execute, ok := call.Statement.(proto.Execute); ok {
-		name := preparedName(session.prepared[execute.Name])
+		name := conn.Prepared[session.prepared[execute.Name]]
 		return proto.ForwardPrepared{ID: call.ID, Name: name, Arguments: execute.Arguments, MinPosition: minPosition}
 	}
 	return proto.Forward{ID: call.ID, Text: call.Text, MinPosition: minPosition}
@@ -103,10 +90,10 @@
 	}
 	if execute, ok := call.Statement.(proto.Execute); ok {
 		definition := session.prepared[execute.Name]
-		name := preparedName(definition)
-		if _, ok := conn.Prepared[name]; !ok {
+		if _, ok := conn.Prepared[definition]; !ok {
+			name := conn.NewName()
 			requests = append(requests, proto.Define{Name: name, Definition: definition})
-			conn.Prepared[name] = definition
+			conn.Prepared[definition] = name
 		}
 	}
 	return requests
--- a/engine/restore_test.go
+++ b/engine/restore_test.go
@@ -1,9 +1,11 @@
 package engine_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bramleydoor/bramleydoor/clock"
@@ -13,10 +15,12 @@
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
-// roundTrips counts the round trips on all connections. The value "bad" can't be set.
+// roundTrips counts the round trips on all connections, and has the names of the statements
+// that were prepared on them. The value "bad" can't be set.
 type roundTrips struct {
 	proto.Dialer
 	count int
+	names []string
 }
 
 type countingConn struct {
@@ -38,8 +42,13 @@
 	conn.roundTrips.count++
 	answers, err := conn.DatabaseConn.AskAll(requests, timeout)
 	for i, request := range requests {
-		if set, ok := request.(proto.SetValue); ok && set.Value == "bad" {
-			answers[i].Code = proto.Failed
+		switch request := request.(type) {
+		case proto.SetValue:
+			if request.Value == "bad" {
+				answers[i].Code = proto.Failed
+			}
+		case proto.Define:
+			conn.roundTrips.names = append(conn.roundTrips.names, request.Name)
 		}
 	}
 	return answers, err
@@ -103,3 +112,47 @@
 		})
 	}
 }
+
+// PINNED: a session ran another session's statement, since the 64-bit hashes of their texts,
+// which named them on connections, were equal.
+func TestPreparedTextsWithEqualHash(t *testing.T) {
+	texts := []string{
+		"id,amount,currency,booked_at,account_no,state,region,name,origin",
+		"e15jls5_t,currency,booked_at,accgwgmxlh1state,region,name,origin",
+	}
+	qt.Assert(t, xxhash.Sum64String(texts[0]), qt.Equals, xxhash.Sum64String(texts[1]))
+	withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		for range 2 {
+			for _, text := range texts {
+				caller.Ask(proto.Prepare{Name: "s1", Definition: proto.Definition{Text: text}}, "")
+				answer := caller.Ask(proto.Execute{Name: "s1", Arguments: "x"}, "EXECUTE s1 x")
+				c.Assert(answer.Rows, qt.DeepEquals, []string{"READ " + text + " x"})
+			}
+		}
+		for _, run := range fixture.upstream.Runs() {
+			c.Assert(run.Conn, qt.Equals, 1)
+		}
+	})
+}
+
+// PINNED: a name of a connection keeps its one statement, also after the connection was reset
+// for another session.
+func TestPreparedNameIsNotReused(t *testing.T) {
+	withSessionOf(t, newFixture, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		counted := fixture.countRoundTrips()
+		other := fixture.open("current")
+		c.Assert(other.Start().Code, qt.Equals, proto.OK)
+		defer other.Leave()
+		caller.Ask(proto.Assign{Name: "a", Value: "1"}, "")
+		for i, session := range []*fakeup.CallerConn{caller, other, caller, other} {
+			text := string(rune('p' + i%3))
+			session.Ask(proto.Prepare{Name: "s1", Definition: proto.Definition{Text: text}}, "")
+			answer := session.Ask(proto.Execute{Name: "s1", Arguments: "x"}, "EXECUTE s1 x")
+			c.Assert(answer.Rows, qt.DeepEquals, []string{"READ " + text + " x"})
+		}
+		fixture.upstream.Do("a", func(database *fakeup.Database) { c.Assert(database.Opened, qt.Equals, 1) })
+		slices.Sort(counted.names)
+		c.Assert(slices.Compact(slices.Clone(counted.names)), qt.DeepEquals, counted.names)
+		c.Assert(counted.names, qt.HasLen, 4)
+	})
+}
--- a/engine/single.go
+++ b/engine/single.go
@@ -71,7 +71,7 @@
 		return proto.Answer{}, "noLongerLeads"
 	}
 	timeout := max(execution.remaining()/2, minAttemptTimeout)
-	answer, err := execution.send(conn, execution.session.request(execution.call, choice.MinPosition), timeout)
+	answer, err := execution.send(conn, execution.session.request(conn, execution.call, choice.MinPosition), timeout)
 	if err != nil {
 		conn.Discard()
 		return answer, lossReason(err)
@@ -123,7 +123,7 @@
 		conn.Put()
 		return proto.Answer{}, "noLongerLeads"
 	}
-	answer, err := execution.send(conn, execution.session.request(execution.call, posn.Position{}), max(execution.remaining(), minAttemptTimeout))
+	answer, err := execution.send(conn, execution.session.request(conn, execution.call, posn.Position{}), max(execution.remaining(), minAttemptTimeout))
 	if err != nil {
 		conn.Discard()
 		if errors.Is(err, dbpool.ErrNotSent) {
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -112,7 +112,7 @@
 	if writes {
 		transaction.mayHaveWritten = true
 	}
-	answer, err := execution.sendPinned(transaction.conn, session.request(call, posn.Position{}))
+	answer, err := execution.sendPinned(transaction.conn, session.request(transaction.conn, call, posn.Position{}))
 	if err != nil {
 		// No commit was sent, so closing the connection rolls the transaction back.
 		transaction.discardConn()
