engine: COMMIT runs with the values that were set since the last statement

Cause: commit sent COMMIT on the transaction's connection as it was; every other statement restores the session's values first.

Evidence: TestCommitHasSessionValues, at the VM and through a routing VM, failed before: the run of COMMIT had a=1 where a=2 had been set. TestCommitNeedsValues failed too: COMMIT was answered ok on a connection that had refused the value.

Fix: commit restores before it sends COMMIT. If that fails, no COMMIT was sent, so the connection is closed, upon which the database rolls back, and the caller gets ABORTED. A routing VM runs the same function with the values that come with the forwarded COMMIT. Where nothing was set, no request is added: the test counts one round trip.

ROLLBACK needs no values: by PROTOCOL.md, Consumers, the system may answer all texts other than reads, writes and COMMIT itself, and statements of its own carry the ID "-". The ROLLBACK that a database gets is such a statement.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -10,7 +10,8 @@
 //  12. A failure is reported as having had no effect only if that is known. A
 //     write or commit without an answer is in doubt and is never retried.
 //  14. A transaction is pinned to one connection. Values and prepared
-//     statements of a session are set on a connection before it is used.
+//     statements of a session are set on a connection before each statement
+//     that is sent there, COMMIT included.
 //  21. A stopping VM completes requests in progress and ends sessions between
 //     requests.
 //
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -48,6 +48,14 @@
 	stop  func()
 }
 
+// serving returns the engine that runs the statements.
+func (fixture *fixture) serving() *engine.Engine {
+	if fixture.router != nil {
+		return fixture.router
+	}
+	return fixture.engine
+}
+
 func (fixture *fixture) Group(string) *dbset.Group { return fixture.group }
 
 func newFixture() *fixture {
--- a/engine/forward_test.go
+++ b/engine/forward_test.go
@@ -144,10 +144,7 @@
 		withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
 			pools := &dbpool.Set{Dialer: panickingDialer{fixture.upstream}, Clock: clock.System{}, Share: func(string) int { return 4 }}
 			pools.SetMembers(fixture.upstream.Members())
-			serving := fixture.engine
-			if fixture.router != nil {
-				serving = fixture.router
-			}
+			serving := fixture.serving()
 			serving.Pools = pools
 			failing := fixture.open("current")
 			failing.Start()
--- a/engine/restore_test.go
+++ b/engine/restore_test.go
@@ -59,7 +59,7 @@
 	counted := &roundTrips{Dialer: fixture.upstream}
 	pools := &dbpool.Set{Dialer: counted, Clock: clock.System{}, Share: func(string) int { return 1 }}
 	pools.SetMembers(fixture.upstream.Members())
-	fixture.engine.Pools = pools
+	fixture.serving().Pools = pools
 	return counted
 }
 
@@ -156,3 +156,55 @@
 		c.Assert(counted.names, qt.HasLen, 4)
 	})
 }
+
+// PINNED: a commit ran without the values that its session had set since the last statement of
+// the transaction. It takes no round trip more where nothing was set.
+func TestCommitHasSessionValues(t *testing.T) {
+	withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		counted := fixture.countRoundTrips()
+		set := func(value string) { caller.Ask(proto.Assign{Name: "a", Value: value}, "SET a "+value) }
+		set("1")
+		for _, statements := range [][]proto.Statement{{write}, {read}, {}} {
+			caller.Ask(begin, "BEGIN")
+			for _, statement := range statements {
+				c.Assert(caller.Ask(statement, "x").Code, qt.Equals, proto.OK)
+			}
+			set("2")
+			c.Assert(caller.Ask(commit, "COMMIT").Code, qt.Equals, proto.OK)
+			runs := fixture.upstream.Runs()
+			c.Check(runs[len(runs)-1].Values, qt.DeepEquals, map[string]string{"a": "2"})
+			set("1")
+		}
+		caller.Ask(begin, "BEGIN")
+		c.Assert(caller.Ask(write, "x").Code, qt.Equals, proto.OK)
+		counted.count = 0
+		c.Assert(caller.Ask(commit, "COMMIT").Code, qt.Equals, proto.OK)
+		c.Check(counted.count, qt.Equals, 1)
+	})
+}
+
+// PINNED: no commit runs where a value of its session could not be set. It is answered as not
+// run, and its connection is closed.
+func TestCommitNeedsValues(t *testing.T) {
+	withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		fixture.countRoundTrips()
+		for _, hasStatement := range []bool{true, false} {
+			caller.Ask(begin, "BEGIN")
+			want := proto.Busy
+			if hasStatement {
+				c.Assert(caller.Ask(write, "WRITE x 1").Code, qt.Equals, proto.OK)
+				want = proto.Aborted
+			}
+			caller.Ask(proto.Assign{Name: "a", Value: "bad"}, "SET a bad")
+			answer := caller.Ask(commit, "COMMIT")
+			c.Check(answer.Code, qt.Equals, want)
+			c.Check(answer.State, qt.Equals, proto.Idle)
+			fixture.upstream.Do("a", func(database *fakeup.Database) {
+				c.Check(database.Open, qt.Equals, 0)
+				c.Check(database.Position().LSN, qt.Equals, uint64(1))
+			})
+			caller.Ask(proto.Assign{Name: "a", Value: "1"}, "SET a 1")
+		}
+		c.Check(runTexts(fixture.upstream.Runs()), qt.DeepEquals, []string{"a WRITE x 1"})
+	})
+}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -241,11 +241,11 @@
 	return answer, nil
 }
 
-// commit commits the open transaction. If the answer is lost, the commit is in doubt if
-// the transaction may have written, and otherwise answered as Aborted, and so is one that
-// could not be sent. A successful
-// commit with writes is confirmed first (rule 7). Codes by which the commit did not run
-// are answered as Aborted; any other answer is passed on unchanged.
+// commit commits the open transaction. If a value that was set since its last statement can't
+// be restored, or the commit can't be sent, it is rolled back with its connection instead. If the
+// answer is lost, the commit is in doubt if the transaction may have written, and otherwise
+// answered as Aborted. A successful commit with writes is confirmed first (rule 7). Codes by
+// which the commit did not run are answered as Aborted; any other answer is passed on unchanged.
 func (session *Session) commit(call proto.Call) proto.Answer {
 	transaction := session.transaction
 	if transaction == nil {
@@ -266,6 +266,12 @@
 		return answer
 	}
 	conn := transaction.conn
+	if err := session.restore(conn, call, true); err != nil {
+		transaction.discardConn()
+		answer := session.refuse(call, proto.Aborted, "connectionLost")
+		session.transaction = nil
+		return answer
+	}
 	answer, err := execution.sendPinned(conn, proto.Forward{ID: call.ID, Text: call.Text, IsCommit: true})
 	session.transaction = nil
 	if err != nil {
