dbpool: a connection that is returned in a transaction is closed

Callers' statements could run in the transaction of another caller (PINNED): a write was acknowledged that was never committed.

Cause: reads, writes and a refused BEGIN return their connection to the pool without a look at the state in the answer's READY. A database that opened the transaction and answered otherwise left it in a transaction, and the next session used it there.

Evidence: TestConnInTransactionIsNotReused failed before, at the VM and through a routing VM: after a BEGIN that was answered as busy in state T, another write ran in transaction 1 and had no commit. TestConnInTransactionIsClosed failed too.

Fix: a connection knows the state of its last answer, and the pool closes one that is returned in any state but idle, whoever returns it, control requests included. The database rolls back upon the close.

--- a/dbpool/conn.go
+++ b/dbpool/conn.go
@@ -107,7 +107,7 @@
 	conn.pool.limiter.Observe(latency, conn.pool.Clock.Now())
 }
 
-// Put returns the connection to its pool.
+// Put returns the connection to its pool, or closes it if it is in a transaction.
 func (conn *Conn) Put() { conn.pool.Put(conn) }
 
 // Discard closes the connection and removes it from its pool.
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -283,12 +283,13 @@
 	pool.serveWaiters(now)
 }
 
-// Put returns a connection to the pool. It must not be in a transaction. Connections
-// above the limit, and those that have lost an answer or given many errors, are closed.
+// Put returns a connection to the pool. Connections above the limit, those in a transaction,
+// and those that have lost an answer or given many errors, are closed.
 func (pool *Pool) Put(conn *Conn) {
 	now := pool.Clock.Now()
 	pool.mu.Lock()
-	if conn.isLost || conn.stream.IsExhausted() || pool.closed || pool.open > max(pool.Share(), 1) {
+	isUsable := !conn.isLost && !conn.stream.IsExhausted() && conn.stream.State() == proto.Idle
+	if !isUsable || pool.closed || pool.open > max(pool.Share(), 1) {
 		pool.mu.Unlock()
 		pool.Discard(conn)
 		return
--- a/dbpool/dbpool_test.go
+++ b/dbpool/dbpool_test.go
@@ -11,6 +11,7 @@
 	"github.com/bramleydoor/bramleydoor/clock"
 	"github.com/bramleydoor/bramleydoor/dbpool"
 	"github.com/bramleydoor/bramleydoor/fakeup"
+	"github.com/bramleydoor/bramleydoor/proto"
 )
 
 // newPool returns a pool of connections to database a. The VM's share of the
@@ -52,6 +53,26 @@
 	})
 }
 
+// PINNED: a connection that was returned in a transaction served another session there. Rule 14:
+// it is closed.
+func TestConnInTransactionIsClosed(t *testing.T) {
+	withUpstream(t, func(c *qt.C, upstream *fakeup.Upstream) {
+		pool := newPool(upstream, 2)
+		conn := mustGet(c, pool)
+		_, err := conn.AskAll([]proto.Request{proto.Reset{}, proto.Start{}}, time.Second)
+		c.Assert(err, qt.IsNil)
+		conn.Put()
+		upstream.Do("a", func(database *fakeup.Database) { c.Assert(database.Open, qt.Equals, 0) })
+		conn = mustGet(c, pool)
+		for _, request := range []proto.Request{proto.Start{}, proto.AbortTransaction{}} {
+			_, err := conn.Ask(request, time.Second)
+			c.Assert(err, qt.IsNil)
+		}
+		conn.Put()
+		c.Assert(mustGet(c, pool), qt.Equals, conn)
+	})
+}
+
 // Rule 15: among queued requests the one of highest priority (lowest number) is served
 // first.
 func TestPriorityOrdersWaits(t *testing.T) {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -385,6 +385,44 @@
 	})
 }
 
+// refusedStart makes a database answer BEGIN as busy although it has opened the transaction.
+type refusedStart struct{ proto.Dialer }
+
+type refusedStartConn struct{ proto.DatabaseConn }
+
+func (dialer refusedStart) Dial(member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	conn, answer, err := dialer.Dialer.Dial(member, team, timeout)
+	return refusedStartConn{conn}, answer, err
+}
+
+func (conn refusedStartConn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
+	answers, err := conn.DatabaseConn.AskAll(requests, timeout)
+	if _, ok := requests[len(requests)-1].(proto.Start); ok && err == nil {
+		answers[len(answers)-1].Code = proto.Busy
+	}
+	return answers, err
+}
+
+// PINNED: a session's write ran in a transaction that a connection had been returned to its
+// pool with, and was acknowledged without a commit.
+func TestConnInTransactionIsNotReused(t *testing.T) {
+	withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		pools := &dbpool.Set{Dialer: refusedStart{fixture.upstream}, Clock: clock.System{}, Share: func(string) int { return 4 }}
+		pools.SetMembers(fixture.upstream.Members())
+		fixture.serving().Pools = pools
+		caller.Ask(begin, "BEGIN")
+		c.Assert(caller.Ask(write, "WRITE x 1").Code, qt.Equals, proto.Busy)
+		caller.Ask(rollback, "ROLLBACK")
+		time.Sleep(time.Second)
+		fixture.renewLease()
+		c.Assert(caller.Ask(write, "WRITE y 1").Code, qt.Equals, proto.OK)
+		runs := fixture.upstream.Runs()
+		c.Assert(runTexts(runs), qt.DeepEquals, []string{"a WRITE y 1"})
+		c.Check(runs[0].Transaction, qt.Equals, 0)
+		c.Check(runs[0].Committed.IsZero(), qt.IsFalse)
+	})
+}
+
 // Rule 12: a transaction that loses an answer is aborted before its commit was sent,
 // and in doubt after that.
 func TestLostAnswersInTransactions(t *testing.T) {
--- a/match/match.go
+++ b/match/match.go
@@ -201,6 +201,9 @@
 	}
 }
 
+// State returns the transaction state after the last answer.
+func (stream *Stream) State() proto.State { return stream.state }
+
 // IsExhausted reports whether a further error on the connection would need many barriers.
 func (stream *Stream) IsExhausted() bool { return stream.longest >= maxBarriers }
 
