engine: a connection that lacks a statement prepared on it is closed

Callers' statements could run without the values that they had set (PINNED), after a database answered NOSTMT to a name that the VM had prepared there.

Cause: the VM prepared the statement again, and otherwise went on as if the connection was as recorded; in a transaction it didn't even do that. But a connection without the statement isn't as recorded: it was reset, or its answers belong to other requests.

Evidence: TestConnWithoutItsStatementIsClosed has a stand-in reset the connection once before EXECUTE.

The statement is retried on another connection, which is prepared from nothing.

--- a/engine/restore_test.go
+++ b/engine/restore_test.go
@@ -208,3 +208,58 @@
 		c.Check(runTexts(fixture.upstream.Runs()), qt.DeepEquals, []string{"a WRITE x 1"})
 	})
 }
+
+// forgetful makes connections lose their values and prepared statements once, before the first
+// EXECUTE.
+type forgetful struct {
+	proto.Dialer
+	hasForgotten bool
+}
+
+type forgetfulConn struct {
+	proto.DatabaseConn
+	dialer *forgetful
+}
+
+func (dialer *forgetful) Dial(member dbset.Member, team string, timeout time.Duration) (proto.DatabaseConn, proto.Answer, error) {
+	conn, answer, err := dialer.Dialer.Dial(member, team, timeout)
+	return forgetfulConn{conn, dialer}, answer, err
+}
+
+func (conn forgetfulConn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
+	if _, ok := request.(proto.ForwardPrepared); ok && !conn.dialer.hasForgotten {
+		conn.dialer.hasForgotten = true
+		if _, err := conn.DatabaseConn.Ask(proto.Reset{}, timeout); err != nil {
+			return proto.Answer{}, err
+		}
+	}
+	return conn.DatabaseConn.Ask(request, timeout)
+}
+
+// PINNED: after a database had no statement of a name that was prepared there, the connection
+// served the next statement without the values that had been set on it.
+func TestConnWithoutItsStatementIsClosed(t *testing.T) {
+	for _, writes := range []bool{false, true} {
+		for _, inTransaction := range []bool{false, true} {
+			withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+				pools := &dbpool.Set{Dialer: &forgetful{Dialer: fixture.upstream}, Clock: clock.System{}, Share: func(string) int { return 1 }}
+				pools.SetMembers(fixture.upstream.Members())
+				fixture.serving().Pools = pools
+				execute := proto.Execute{Name: "s1", Arguments: "x"}
+				caller.Ask(proto.Assign{Name: "a", Value: "1"}, "SET a 1")
+				caller.Ask(proto.Prepare{Name: "s1", Definition: proto.Definition{Text: "q1", Writes: writes}}, "")
+				if inTransaction {
+					caller.Ask(begin, "BEGIN")
+					c.Check(caller.Ask(execute, "EXECUTE s1 x").Code, qt.Equals, proto.Aborted)
+					caller.Ask(rollback, "ROLLBACK")
+				} else {
+					caller.Ask(execute, "EXECUTE s1 x")
+				}
+				c.Assert(caller.Ask(execute, "EXECUTE s1 x").Code, qt.Equals, proto.OK)
+				for _, run := range fixture.upstream.Runs() {
+					c.Check(run.Values, qt.DeepEquals, map[string]string{"a": "1"})
+				}
+			})
+		}
+	}
+}
--- a/engine/single.go
+++ b/engine/single.go
@@ -76,16 +76,24 @@
 		conn.Discard()
 		return answer, lossReason(err)
 	}
-	if answer.Code == proto.UnknownName {
-		clear(conn.Prepared)
-	}
-	conn.Put()
+	release(conn, answer)
 	if answer.Code == proto.OK || answer.Code == proto.TimedOut || answer.Code == proto.Malformed {
 		return answer, ""
 	}
 	return answer, answer.Code.String()
 }
 
+// release returns a connection to its pool after a single statement. It is closed if the
+// database had no statement of the name that was prepared there, since it may lack the values
+// as well.
+func release(conn *dbpool.Conn, answer proto.Answer) {
+	if answer.Code == proto.UnknownName {
+		conn.Discard()
+		return
+	}
+	conn.Put()
+}
+
 // write runs a single write. It is retried only if it is known not to have run.
 func (session *Session) write(call proto.Call, route config.Route) proto.Answer {
 	execution := session.newExecution(call, route)
@@ -131,10 +139,7 @@
 		}
 		return execution.answerInDoubt(primary.ID, lossReason(err)), ""
 	}
-	if answer.Code == proto.UnknownName {
-		clear(conn.Prepared)
-	}
-	conn.Put()
+	release(conn, answer)
 	if answer.Code == proto.ReadOnly {
 		execution.group.Demoted(primary.ID)
 	}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -123,6 +123,9 @@
 	}
 	session.recordDemotion(execution, answer)
 	transaction.isFailureReported = true
+	if answer.Code == proto.UnknownName {
+		transaction.discardConn()
+	}
 	transaction.abort()
 	if answer.Code == proto.Failed {
 		return answer
