entry: a message of a batch belongs to the statement that its name had then

Callers of the PostgreSQL product that sent several statements up to one Sync, as pipelines do, and parsed them under one name, such as the unnamed one, got the rows of the first statement for the later ones. Other sessions whose statements the connection didn't have yet got them too (PINNED).

Cause: a batch is sent at its Sync, and the statement of each message was looked up by its name then. The first Parse was sent with its own text, but under the database name of the last statement with that name. From then on, the connection had another text under that name than every session expects.

Fix: the statement is looked up when the message arrives, as it was already done for which statements a batch executes. A request has the statement of each of its messages. The same holds for batches of the proxy's own settings.

--- /dev/null
+++ b/demo/prepared_test.go
@@ -0,0 +1,52 @@
+package demo_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// texts runs prepared statements without parameters in one batch up to a Sync, each with a
+// Parse under the given name, and returns the first column of each.
+func texts(ctx context.Context, c *qt.C, conn *pgx.Conn, name string, queries ...string) []string {
+	frontend := conn.PgConn().Frontend()
+	for _, query := range queries {
+		frontend.Send(&pgproto3.Parse{Name: name, Query: query})
+		frontend.Send(&pgproto3.Bind{PreparedStatement: name})
+		frontend.Send(&pgproto3.Execute{})
+	}
+	frontend.Send(&pgproto3.Sync{})
+	c.Assert(frontend.Flush(), qt.IsNil)
+	var values []string
+	for {
+		message, err := frontend.Receive()
+		c.Assert(err, qt.IsNil)
+		switch message := message.(type) {
+		case *pgproto3.DataRow:
+			values = append(values, string(message.Values[0]))
+		case *pgproto3.ErrorResponse:
+			c.Fatalf("%s: %s", message.Code, message.Message)
+		case *pgproto3.ReadyForQuery:
+			return values
+		}
+	}
+}
+
+// PINNED: where a batch parsed two statements under one name, the first one ran in place of the
+// second, and then for other sessions that prepared the second.
+func TestBatchParsesOneNameTwice(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTinyCluster(c)
+	for _, name := range []string{"", "s1"} {
+		conn, other := connect(ctx, c, cluster, 0, ""), connect(ctx, c, cluster, 0, "")
+		first, second, third := "SELECT 'first"+name+"'", "SELECT 'second"+name+"'", "SELECT 'third"+name+"'"
+		c.Check(texts(ctx, c, conn, name, first, second), qt.DeepEquals, []string{"first" + name, "second" + name})
+		c.Check(texts(ctx, c, conn, name, third, first, third), qt.DeepEquals, []string{"third" + name, "first" + name, "third" + name})
+		for range 2 {
+			c.Check(texts(ctx, c, other, name, second), qt.DeepEquals, []string{"second" + name})
+		}
+	}
+}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -56,9 +56,12 @@
 // request is a unit of work that is sent to a slot: a simple query, or a batch of
 // extended-protocol messages up to a Sync or Flush.
 type request struct {
-	messages  []pgproto3.FrontendMessage
-	kind      stmt.Kind
-	mayCommit bool
+	messages []pgproto3.FrontendMessage
+	// statements has the prepared statement of each of the first messages, or nil. The names
+	// may have had other statements since.
+	statements []*statement
+	kind       stmt.Kind
+	mayCommit  bool
 	// isSimple is set for a single Query message.
 	isSimple bool
 	// hasSync is set if the answer ends with ReadyForQuery.
@@ -178,10 +181,11 @@
 func (session *session) sendRequest(conn *pool.Conn, request *request) *expectedAnswers {
 	answers := new(expectedAnswers)
 	sentNames := make(map[string]bool)
-	for _, message := range request.messages {
+	for i, message := range request.messages {
+		statement := request.statementOf(i)
 		switch message := message.(type) {
 		case *pgproto3.Parse:
-			name := session.statements[message.Name].upstreamName
+			name := statement.upstreamName
 			if conn.IsPrepared(name) || sentNames[name] {
 				answers.expectLocal(localParseComplete)
 				continue
@@ -191,13 +195,13 @@
 			answers.expectParse(expectParse, name)
 		case *pgproto3.Bind:
 			bind := *message
-			bind.PreparedStatement = session.ensurePrepared(conn, answers, message.PreparedStatement, sentNames)
+			bind.PreparedStatement = ensurePrepared(conn, answers, statement, sentNames)
 			conn.Frontend.Send(&bind)
 			answers.expect(expectBind)
 		case *pgproto3.Describe:
 			describe := *message
 			if describe.ObjectType == 'S' {
-				describe.Name = session.ensurePrepared(conn, answers, message.Name, sentNames)
+				describe.Name = ensurePrepared(conn, answers, statement, sentNames)
 			}
 			conn.Frontend.Send(&describe)
 			answers.expect(expectDescribe)
@@ -221,8 +225,7 @@
 // ensurePrepared sends a Parse unless the statement is prepared on the connection
 // or its name is in sentNames, the names sent with this request. It returns the
 // statement's name on the connection.
-func (session *session) ensurePrepared(conn *pool.Conn, answers *expectedAnswers, name string, sentNames map[string]bool) string {
-	statement := session.statements[name]
+func ensurePrepared(conn *pool.Conn, answers *expectedAnswers, statement *statement, sentNames map[string]bool) string {
 	if conn.IsPrepared(statement.upstreamName) || sentNames[statement.upstreamName] {
 		return statement.upstreamName
 	}
@@ -244,30 +247,30 @@
 		}
 		statement := newStatement(message)
 		session.statements[message.Name] = statement
-		session.addToBatch(&statement.parse, len(message.Query))
+		session.addToBatch(&statement.parse, statement, len(message.Query))
 	case *pgproto3.Bind:
-		if session.statements[message.PreparedStatement] == nil {
+		statement := session.statements[message.PreparedStatement]
+		if statement == nil {
 			return errNoStatement(message.PreparedStatement)
 		}
 		bind, size := copyBind(message)
-		session.portals[message.DestinationPortal] = session.statements[message.PreparedStatement]
-		session.addToBatch(bind, size)
+		session.portals[message.DestinationPortal] = statement
+		session.addToBatch(bind, statement, size)
 	case *pgproto3.Describe:
-		if message.ObjectType == 'S' && session.statements[message.Name] == nil {
-			return errNoStatement(message.Name)
+		statement := session.portals[message.Name]
+		if message.ObjectType == 'S' {
+			if statement = session.statements[message.Name]; statement == nil {
+				return errNoStatement(message.Name)
+			}
 		}
 		copied := *message
-		session.addToBatch(&copied, 0)
+		session.addToBatch(&copied, statement, 0)
 	case *pgproto3.Execute:
 		copied := *message
-		session.addToBatch(&copied, 0)
-		// Looked up now, since a later Bind in the batch may reuse the portal's name.
-		if statement := session.portals[message.Portal]; statement != nil {
-			session.executed = append(session.executed, statement)
-		}
+		session.addToBatch(&copied, session.portals[message.Portal], 0)
 	case *pgproto3.Close:
 		copied := *message
-		session.addToBatch(&copied, 0)
+		session.addToBatch(&copied, nil, 0)
 	}
 	if session.batchBytes > session.server.MaxMessageBytes {
 		return fault.Refuse(fault.CodeProtocol, fault.ReasonTooLarge, "the messages before Sync exceed the size limit")
@@ -279,8 +282,11 @@
 // also bounds the number of small messages.
 const messageOverheadBytes = 64
 
-func (session *session) addToBatch(message pgproto3.FrontendMessage, size int) {
+// addToBatch adds a message and its prepared statement, which is looked up now: a later
+// message in the batch may give the statement's or portal's name to another one.
+func (session *session) addToBatch(message pgproto3.FrontendMessage, statement *statement, size int) {
 	session.batch = append(session.batch, message)
+	session.batchStatements = append(session.batchStatements, statement)
 	session.batchBytes += size + messageOverheadBytes
 }
 
@@ -314,19 +320,32 @@
 // takeBatch returns the collected messages as a request and starts a new batch.
 func (session *session) takeBatch(end pgproto3.FrontendMessage) *request {
 	_, hasSync := end.(*pgproto3.Sync)
-	request := &request{messages: append(session.batch, end), hasSync: hasSync, kind: stmt.Read, sizeBytes: session.batchBytes}
-	for _, statement := range session.executed {
+	request := &request{
+		messages: append(session.batch, end), statements: session.batchStatements, hasSync: hasSync, kind: stmt.Read,
+		sizeBytes: session.batchBytes,
+	}
+	for i, statement := range request.statements {
+		if _, ok := request.messages[i].(*pgproto3.Execute); !ok || statement == nil {
+			continue
+		}
 		request.text = statement.parse.Query
 		request.mayCommit = request.mayCommit || statement.mayCommit
 		if statement.kind != stmt.Read || session.isKnownWrite(statement.parse.Query) {
 			request.kind = statement.kind
 		}
 	}
-	session.executed = nil
-	session.batch, session.batchBytes = nil, 0
+	session.batch, session.batchStatements, session.batchBytes = nil, nil, 0
 	return request
 }
 
+// statementOf returns the prepared statement that a message refers to, if any.
+func (request *request) statementOf(index int) *statement {
+	if index >= len(request.statements) {
+		return nil
+	}
+	return request.statements[index]
+}
+
 // closeStatements removes the statements that the request's Close messages name.
 func (session *session) closeStatements(request *request) {
 	for _, message := range request.messages {
--- a/entry/local.go
+++ b/entry/local.go
@@ -32,7 +32,7 @@
 		}
 		return true, session.serveCommand(ctx, command)
 	}
-	if !session.hasCommand(request) {
+	if !request.hasCommand() {
 		return false, nil
 	}
 	return true, session.serveCommandBatch(ctx, request)
@@ -108,43 +108,25 @@
 
 // hasCommand reports whether any statement in the batch sets, shows or resets one
 // of the proxy's own settings.
-func (session *session) hasCommand(request *request) bool {
-	for _, message := range request.messages {
-		if statement := session.statementOf(message); statement != nil && statement.command != nil {
+func (request *request) hasCommand() bool {
+	for _, statement := range request.statements {
+		if statement != nil && statement.command != nil {
 			return true
 		}
 	}
 	return false
 }
 
-// statementOf returns the statement that a message refers to, if any.
-func (session *session) statementOf(message pgproto3.FrontendMessage) *statement {
-	switch message := message.(type) {
-	case *pgproto3.Parse:
-		return session.statements[message.Name]
-	case *pgproto3.Bind:
-		return session.statements[message.PreparedStatement]
-	case *pgproto3.Describe:
-		if message.ObjectType == 'S' {
-			return session.statements[message.Name]
-		}
-		return session.portals[message.Name]
-	case *pgproto3.Execute:
-		return session.portals[message.Portal]
-	}
-	return nil
-}
-
 // serveCommandBatch answers a batch of commands for the proxy's own settings.
 func (session *session) serveCommandBatch(ctx context.Context, request *request) error {
-	for _, message := range request.messages {
-		if statement := session.statementOf(message); statement != nil && statement.command == nil {
+	for _, statement := range request.statements {
+		if statement != nil && statement.command == nil {
 			return fault.Refuse(fault.CodeUnsupported, fault.ReasonUnsupported,
 				"a batch can't contain both bramley settings and other statements")
 		}
 	}
-	for _, message := range request.messages {
-		if err := session.answerCommandMessage(ctx, message); err != nil {
+	for i, message := range request.messages {
+		if err := session.answerCommandMessage(ctx, message, request.statementOf(i)); err != nil {
 			return err
 		}
 	}
@@ -154,8 +136,7 @@
 	return session.sender.Flush()
 }
 
-func (session *session) answerCommandMessage(ctx context.Context, message pgproto3.FrontendMessage) error {
-	statement := session.statementOf(message)
+func (session *session) answerCommandMessage(ctx context.Context, message pgproto3.FrontendMessage, statement *statement) error {
 	switch message := message.(type) {
 	case *pgproto3.Parse:
 		session.sender.Send(localParseComplete)
--- a/entry/session.go
+++ b/entry/session.go
@@ -64,9 +64,9 @@
 	statements map[string]*statement
 	portals    map[string]*statement
 	batch      []pgproto3.FrontendMessage
-	batchBytes int
-	// executed lists the statements that the batch executes, in order.
-	executed []*statement
+	// batchStatements has the prepared statement of each message of the batch, or nil.
+	batchStatements []*statement
+	batchBytes      int
 
 	settings settings
 	// sessionSettings are the settings without SET LOCAL. They are restored when the
@@ -260,7 +260,7 @@
 
 // failBatch answers with an error and discards messages up to the next Sync.
 func (session *session) failBatch(err error) error {
-	session.batch, session.batchBytes, session.executed = nil, 0, nil
+	session.batch, session.batchStatements, session.batchBytes = nil, nil, 0
 	session.isSkippingToSync = true
 	return session.answerError(fault.From(err), false)
 }
