entry: a batch of settings with a portal that doesn't exist is refused

Any caller of the PostgreSQL product could end the whole process: a batch that set or showed one of the proxy's settings and executed a portal that didn't exist panicked.

Cause: such a batch is answered by the proxy, which looked up the command of each executed portal without a check that the portal exists.

Fix: executing or describing a portal without a statement is answered with 34000, as the database does for other batches.

--- a/demo/prepared_test.go
+++ b/demo/prepared_test.go
@@ -50,3 +50,38 @@
 		}
 	}
 }
+
+// batch sends messages and returns the first columns of rows and the codes of errors up to
+// ReadyForQuery.
+func batch(c *qt.C, conn *pgx.Conn, messages ...pgproto3.FrontendMessage) []string {
+	frontend := conn.PgConn().Frontend()
+	for _, message := range messages {
+		frontend.Send(message)
+	}
+	frontend.Send(&pgproto3.Sync{})
+	c.Assert(frontend.Flush(), qt.IsNil)
+	var answers []string
+	for {
+		message, err := frontend.Receive()
+		c.Assert(err, qt.IsNil)
+		switch message := message.(type) {
+		case *pgproto3.DataRow:
+			answers = append(answers, string(message.Values[0]))
+		case *pgproto3.ErrorResponse:
+			answers = append(answers, message.Code)
+		case *pgproto3.ReadyForQuery:
+			return answers
+		}
+	}
+}
+
+// A batch that mixed a setting of the proxy with a portal that didn't exist ended the process.
+func TestSettingBatchWithoutPortal(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTinyCluster(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	parse, bind := &pgproto3.Parse{Query: "SHOW bramley.staleness"}, &pgproto3.Bind{}
+	c.Check(batch(c, conn, parse, bind, &pgproto3.Execute{Portal: "nosuch"}), qt.DeepEquals, []string{"34000"})
+	c.Check(batch(c, conn, parse, bind, &pgproto3.Describe{ObjectType: 'P', Name: "nosuch"}), qt.DeepEquals, []string{"34000"})
+	c.Check(batch(c, conn, parse, bind, &pgproto3.Execute{}), qt.DeepEquals, []string{"0s"})
+}
--- a/entry/local.go
+++ b/entry/local.go
@@ -126,6 +126,10 @@
 		}
 	}
 	for i, message := range request.messages {
+		if isPortalUse(message) && request.statementOf(i) == nil {
+			// invalid_cursor_name
+			return fault.Refuse("34000", fault.ReasonBadMessage, "portal does not exist")
+		}
 		if err := session.answerCommandMessage(ctx, message, request.statementOf(i)); err != nil {
 			return err
 		}
@@ -136,6 +140,17 @@
 	return session.sender.Flush()
 }
 
+// isPortalUse reports whether a message executes or describes a portal.
+func isPortalUse(message pgproto3.FrontendMessage) bool {
+	switch message := message.(type) {
+	case *pgproto3.Execute:
+		return true
+	case *pgproto3.Describe:
+		return message.ObjectType == 'P'
+	}
+	return false
+}
+
 func (session *session) answerCommandMessage(ctx context.Context, message pgproto3.FrontendMessage, statement *statement) error {
 	switch message := message.(type) {
 	case *pgproto3.Parse:
@@ -148,7 +163,7 @@
 		if message.ObjectType == 'S' {
 			session.sender.Send(&pgproto3.ParameterDescription{})
 		}
-		if statement != nil && statement.command.Verb == "SHOW" {
+		if statement.command.Verb == "SHOW" {
 			session.sender.Send(showDescription(statement.command))
 			return nil
 		}
