entry: Close in a batch doesn't remove a statement that is prepared after it

Callers of the PostgreSQL product that closed a statement and prepared it again up to the same Sync got 26000 for it later (PINNED: a prepared name is unknown though its preparing was acknowledged).

Cause: the names in a batch's Close messages were removed after the batch.

Fix: a name is removed when its Close arrives, in the order of the messages. The messages before it have their statements already.

--- a/demo/prepared_test.go
+++ b/demo/prepared_test.go
@@ -85,3 +85,18 @@
 	c.Check(batch(c, conn, parse, bind, &pgproto3.Describe{ObjectType: 'P', Name: "nosuch"}), qt.DeepEquals, []string{"34000"})
 	c.Check(batch(c, conn, parse, bind, &pgproto3.Execute{}), qt.DeepEquals, []string{"0s"})
 }
+
+// PINNED: a statement was unknown after a batch that closed its name and prepared it again,
+// although the Parse was answered.
+func TestBatchReplacesStatement(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTinyCluster(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	bind, execute := &pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}
+	c.Check(batch(c, conn, &pgproto3.Parse{Name: "s1", Query: "SELECT 'a'"}, bind, execute), qt.DeepEquals, []string{"a"})
+	closing := &pgproto3.Close{ObjectType: 'S', Name: "s1"}
+	c.Check(batch(c, conn, closing, &pgproto3.Parse{Name: "s1", Query: "SELECT 'b'"}, bind, execute), qt.DeepEquals, []string{"b"})
+	c.Check(batch(c, conn, bind, execute), qt.DeepEquals, []string{"b"})
+	c.Check(batch(c, conn, bind, execute, closing), qt.DeepEquals, []string{"b"})
+	c.Check(batch(c, conn, bind, execute), qt.DeepEquals, []string{"26000"})
+}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -269,6 +269,9 @@
 		copied := *message
 		session.addToBatch(&copied, session.portals[message.Portal], 0)
 	case *pgproto3.Close:
+		if message.ObjectType == 'S' {
+			delete(session.statements, message.Name)
+		}
 		copied := *message
 		session.addToBatch(&copied, nil, 0)
 	}
@@ -345,12 +348,3 @@
 	}
 	return request.statements[index]
 }
-
-// closeStatements removes the statements that the request's Close messages name.
-func (session *session) closeStatements(request *request) {
-	for _, message := range request.messages {
-		if message, ok := message.(*pgproto3.Close); ok && message.ObjectType == 'S' {
-			delete(session.statements, message.Name)
-		}
-	}
-}
--- a/entry/session.go
+++ b/entry/session.go
@@ -310,7 +310,6 @@
 	if !handled {
 		err = session.dispatch(ctx, request)
 	}
-	session.closeStatements(request)
 	if err == nil {
 		session.router.RecordSuccess()
 		return nil
