entry: a statement's database name tells its text from its parameter types

Callers of the PostgreSQL product could get the rows of another caller's statement (PINNED).

Cause: the name is the hash of the text followed by the parameter types, with nothing between them, so a text with the type 0x61626364 has the name of the text that goes on with "abcd" and declares no type.

Evidence: TestPreparedTextWithTypesOfOther fails on the commit before: in the same session and in another one, count(*) of table tabcd was 0, that of t, instead of 1.

Fix: a zero byte, which no text of the protocol has, ends the text in the hash.

--- a/demo/prepared_test.go
+++ b/demo/prepared_test.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// PINNED: a statement ran in place of another one whose text is the first one's followed by the
+// bytes of its parameter types.
+func TestPreparedTextWithTypesOfOther(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTinyCluster(c)
+	conn, other := connect(ctx, c, cluster, 0, ""), connect(ctx, c, cluster, 0, "")
+	exec(ctx, c, conn, "INSERT INTO tabcd (key, value) VALUES ($1, $2)", "k", "1")
+	const text, types = "SELECT count(*) FROM t", 0x61626364
+	bind, execute := &pgproto3.Bind{}, &pgproto3.Execute{}
+	c.Check(batch(c, conn, &pgproto3.Parse{Query: text, ParameterOIDs: []uint32{types}}, bind, execute), qt.DeepEquals, []string{"0"})
+	c.Check(batch(c, conn, &pgproto3.Parse{Query: text + "abcd"}, bind, execute), qt.DeepEquals, []string{"1"})
+	c.Check(batch(c, other, &pgproto3.Parse{Query: text + "abcd"}, bind, execute), qt.DeepEquals, []string{"1"})
+}
+
 // batch sends messages and returns the first columns of rows and the codes of errors up to
 // ReadyForQuery.
 func batch(c *qt.C, conn *pgx.Conn, messages ...pgproto3.FrontendMessage) []string {
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -43,6 +43,8 @@
 func upstreamStatementName(message *pgproto3.Parse) string {
 	hash := sha256.New()
 	hash.Write([]byte(message.Query))
+	// The text ends here: in the protocol it has no zero byte.
+	hash.Write([]byte{0})
 	for _, oid := range message.ParameterOIDs {
 		var bytes [4]byte
 		binary.BigEndian.PutUint32(bytes[:], oid)
