--- a/demo/prepared_test.go
+++ b/demo/prepared_test.go
@@ -1,7 +1,6 @@
 package demo_test
 
 import (
-	"context"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -11,7 +10,7 @@
 
 // texts runs prepared statements without parameters in one batch up to a Sync, each with a
 // Parse under the given name, and returns the first column of each.
-func texts(ctx context.Context, c *qt.C, conn *pgx.Conn, name string, queries ...string) []string {
+func texts(c *qt.C, conn *pgx.Conn, name string, queries ...string) []string {
 	frontend := conn.PgConn().Frontend()
 	for _, query := range queries {
 		frontend.Send(&pgproto3.Parse{Name: name, Query: query})
@@ -43,10 +42,10 @@
 	for _, name := range []string{"", "s1"} {
 		conn, other := connect(ctx, c, cluster, 0, ""), connect(ctx, c, cluster, 0, "")
 		first, second, third := "SELECT 'first"+name+"'", "SELECT 'second"+name+"'", "SELECT 'third"+name+"'"
-		c.Check(texts(ctx, c, conn, name, first, second), qt.DeepEquals, []string{"first" + name, "second" + name})
-		c.Check(texts(ctx, c, conn, name, third, first, third), qt.DeepEquals, []string{"third" + name, "first" + name, "third" + name})
+		c.Check(texts(c, conn, name, first, second), qt.DeepEquals, []string{"first" + name, "second" + name})
+		c.Check(texts(c, conn, name, third, first, third), qt.DeepEquals, []string{"third" + name, "first" + name, "third" + name})
 		for range 2 {
-			c.Check(texts(ctx, c, other, name, second), qt.DeepEquals, []string{"second" + name})
+			c.Check(texts(c, other, name, second), qt.DeepEquals, []string{"second" + name})
 		}
 	}
 }
