dbpool, match: a statement's answer is read past second answers to earlier requests

A success without a proof, or with one that the connection has received, can't be a statement's own: it is skipped, and what follows is taken if it is a success with a new proof. Only one statement at a time is unanswered, so a new proof shows whose answer it is, and that the stream is in step again. An error behind a skipped answer may be an earlier one as well and counts as lost, as before.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -18,6 +18,8 @@
 const (
 	// reasonInvalid means that it is not an answer.
 	reasonInvalid match.Reason = "invalid"
+	// reasonErrorAfterEarlier means that an error followed an earlier answer.
+	reasonErrorAfterEarlier match.Reason = "errorAfterEarlier"
 	// reasonUnread means that a connection has received data between two requests.
 	reasonUnread match.Reason = "unread"
 )
@@ -48,6 +50,11 @@
 	if err != nil {
 		return proto.Answer{}, conn.lose(request, err)
 	}
+	if reason, ok := conn.stream.IsEarlier(request, answer); ok {
+		if answer, err = conn.skipEarlier(request, answer, reason); err != nil {
+			return proto.Answer{}, err
+		}
+	}
 	if err := conn.check(request, answer); err != nil {
 		return proto.Answer{}, err
 	}
@@ -57,6 +64,23 @@
 	return answer, nil
 }
 
+// skipEarlier reads on after an earlier answer until a statement's success has a new proof, and
+// returns that. An error may be an earlier answer too, and nothing would show it.
+func (conn *Conn) skipEarlier(request proto.Request, answer proto.Answer, reason match.Reason) (proto.Answer, error) {
+	for isEarlier := true; isEarlier; {
+		conn.recordMismatch(request, reason, nil)
+		var err error
+		if answer, err = conn.DatabaseConn.Receive(); err != nil {
+			return proto.Answer{}, conn.lose(request, err)
+		}
+		if answer.Code != proto.OK {
+			return proto.Answer{}, conn.refuse(request, reasonErrorAfterEarlier)
+		}
+		reason, isEarlier = conn.stream.IsEarlier(request, answer)
+	}
+	return answer, nil
+}
+
 // AskAll sends requests together and returns their answers; see Ask.
 func (conn *Conn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
 	if err := conn.checkUnread(requests[0]); err != nil {
--- a/match/match.go
+++ b/match/match.go
@@ -8,7 +8,8 @@
 //  14. What a request's answer shows is its kind, its proof and its state. A statement's
 //     success has a proof that the connection has not received before. Errors are alike, and
 //     so are reports: they are confirmed by barriers, requests without effect whose answers,
-//     plain successes, follow only if theirs came before.
+//     plain successes, follow only if theirs came before. A statement's success is read on for
+//     past those that must be earlier answers.
 package match
 
 import (
@@ -92,6 +93,30 @@
 	return stream.checkPlain(answer, previous)
 }
 
+// IsEarlier reports whether a success that was received for a statement must be the answer to an
+// earlier request, and why: it has no proof, or one that the connection has received before. Only
+// one statement at a time is unanswered, so that a new proof is its own.
+func (stream *Stream) IsEarlier(request proto.Request, answer proto.Answer) (Reason, bool) {
+	switch {
+	case !isStatement(request) || answer.Code != proto.OK:
+		return "", false
+	case answer.Proof == "":
+		return NoProof, true
+	case slices.Contains(stream.proofs, xxhash.Sum64String(answer.Proof)):
+		return ProofRepeated, true
+	}
+	return "", false
+}
+
+// isStatement reports whether the success of a request has a proof.
+func isStatement(request proto.Request) bool {
+	switch request.(type) {
+	case proto.Forward, proto.ForwardPrepared:
+		return true
+	}
+	return false
+}
+
 // checkStatement checks the success of a statement after which the state is want.
 func (stream *Stream) checkStatement(answer proto.Answer, want proto.State) Reason {
 	stream.plain, stream.isAfterError = 0, false
--- a/match/match_test.go
+++ b/match/match_test.go
@@ -1,6 +1,7 @@
 package match_test
 
 import (
+	"flag"
 	"strconv"
 	"testing"
 
@@ -11,6 +12,12 @@
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
 var (
 	read   = proto.Forward{ID: "1", Text: "READ x"}
 	commit = proto.Forward{ID: "2", Text: "COMMIT", IsCommit: true}
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -213,6 +213,9 @@
 	// in order. The database runs each of them whatever the answers to those before are. An
 	// error is as for Ask.
 	AskAll(requests []Request, timeout time.Duration) ([]Answer, error)
+	// Receive returns the answer that follows those of the last Ask or AskAll, within their
+	// timeout. An error is as for Ask.
+	Receive() (Answer, error)
 	// IsAlive reports whether the idle connection appears to be open.
 	IsAlive() bool
 	// HasUnread reports whether the connection has received data that no request has read.
