platform, remote: EXECUTE is sent with the blanks at its end

Cause: encodeRequest trimmed blanks so that an EXECUTE without arguments has none at its end. Empty arguments and none were the same value. HasArguments tells them apart from the caller's connection to the database's, also between two VMs.

--- a/engine/restore.go
+++ b/engine/restore.go
@@ -20,8 +20,10 @@
 // for it.
 func (session *Session) request(conn *dbpool.Conn, call proto.Call, minPosition posn.Position) proto.Request {
 	if execute, ok := call.Statement.(proto.Execute); ok {
-		name := conn.Prepared[session.prepared[execute.Name]]
-		return proto.ForwardPrepared{ID: call.ID, Name: name, Arguments: execute.Arguments, MinPosition: minPosition}
+		return proto.ForwardPrepared{
+			ID: call.ID, Name: conn.Prepared[session.prepared[execute.Name]],
+			Arguments: execute.Arguments, HasArguments: execute.HasArguments, MinPosition: minPosition,
+		}
 	}
 	return proto.Forward{ID: call.ID, Text: call.Text, MinPosition: minPosition}
 }
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -113,8 +113,11 @@
 		Name       string
 		Definition Definition
 	}
-	// Execute runs a prepared statement.
-	Execute struct{ Name, Arguments string }
+	// Execute runs a prepared statement. HasArguments tells empty arguments from none.
+	Execute struct {
+		Name, Arguments string
+		HasArguments    bool
+	}
 	// Deallocate removes a prepared statement from the session.
 	Deallocate struct{ Name string }
 	// Unknown is a statement that could not be parsed.
@@ -159,10 +162,13 @@
 		// IsCommit is true if the statement commits the open transaction.
 		IsCommit bool
 	}
-	// ForwardPrepared executes a prepared statement; MinPosition is as in Forward.
+	// ForwardPrepared executes a prepared statement; MinPosition is as in Forward. Without
+	// HasArguments there are arguments if they are not empty, as in a request of a VM of an
+	// earlier version.
 	ForwardPrepared struct {
 		ID              string
 		Name, Arguments string
+		HasArguments    bool
 		MinPosition     posn.Position
 	}
 	// Start opens a transaction. ID is that of the caller's request.
--- a/remote/remote.go
+++ b/remote/remote.go
@@ -66,8 +66,10 @@
 
 	ID, Text string
 	Kind     Kind
-	// Name, Arguments and Definition belong to a prepared statement.
+	// Name, Arguments and Definition belong to a prepared statement. HasArguments tells empty
+	// arguments from none; a VM of an earlier version sets it never.
 	Name, Arguments string
+	HasArguments    bool
 	Definition      proto.Definition
 	// Elapsed is the time from the request's arrival until it was forwarded.
 	Elapsed time.Duration
@@ -90,7 +92,7 @@
 		request.Kind = Commit
 	case proto.Execute:
 		request.Kind, request.Name, request.Arguments = Prepared, statement.Name, statement.Arguments
-		request.Definition = definition
+		request.HasArguments, request.Definition = statement.HasArguments, definition
 	}
 	return request
 }
@@ -106,7 +108,7 @@
 	case Commit:
 		call.Statement = proto.Commit{}
 	case Prepared:
-		call.Statement = proto.Execute{Name: request.Name, Arguments: request.Arguments}
+		call.Statement = proto.Execute{Name: request.Name, Arguments: request.Arguments, HasArguments: request.HasArguments}
 	}
 	return call
 }
