platform, engine: a statement that would grow beyond the limit is refused as not run

What callers saw: none reported. A READ or EXECUTE of up to 1 MiB became longer by WAITFOR and by the prepared name, beyond the limit at the database, which may close the connection: a write that had not run was answered as in doubt, a read was tried at each database in turn.

--- a/engine/session.go
+++ b/engine/session.go
@@ -271,6 +271,8 @@
 			return proto.Answer{Code: proto.UnknownName, Text: statement.Name}
 		}
 		return session.execute(call, definition.Writes)
+	case proto.TooLong:
+		return proto.Answer{Code: proto.Malformed, Text: fmt.Sprintf("statement has %d bytes, beyond the limit of %d", statement.Length, statement.Limit)}
 	}
 	return proto.Answer{Code: proto.Malformed, Text: "statement is not understood"}
 }
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -120,6 +120,8 @@
 	}
 	// Deallocate removes a prepared statement from the session.
 	Deallocate struct{ Name string }
+	// TooLong is a statement that can't be sent within the length limit, in bytes, of a message.
+	TooLong struct{ Length, Limit int }
 	// Unknown is a statement that could not be parsed.
 	Unknown struct{}
 )
@@ -133,6 +135,7 @@
 func (Prepare) isStatement()    {}
 func (Execute) isStatement()    {}
 func (Deallocate) isStatement() {}
+func (TooLong) isStatement()    {}
 func (Unknown) isStatement()    {}
 
 // Definition is the definition of a prepared statement.
