event: texts in log lines are cut at 4 KiB

A request ID may have nearly 1 MiB, and a refusal or retry writes it to the log. 1,024 such lines wait in the ring of a VM whose output is slow, and trace.ReadLog ends at a line of 1 MiB, so explain misses all lines after it.

Line breaks and bytes that are not UTF-8 were escaped already; the test shows both (a line a event). It failed before at the length: a line of 6 MiB.

--- a/event/event.go
+++ b/event/event.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -142,6 +143,9 @@
 // suppressed, and a LinesLeftOut event reports their number.
 const maxLinesPerSecond = 40
 
+// maxFieldBytes limits the texts in a line. A request ID of a caller may have nearly 1 MiB.
+const maxFieldBytes = 4096
+
 // Log writes events with the fields of one VM.
 type Log struct {
 	logger *logrus.Entry
@@ -187,7 +191,28 @@
 	if !ok {
 		entry = Entry{ID: id, Level: logrus.ErrorLevel, Title: "unknown event"}
 	}
-	log.logger.WithFields(fields).WithField("event", int(id)).Log(entry.Level, entry.Title)
+	log.logger.WithFields(shorten(fields)).WithField("event", int(id)).Log(entry.Level, entry.Title)
+}
+
+// shorten returns the fields with long texts cut.
+func shorten(fields Fields) Fields {
+	var shortened Fields
+	for name, value := range fields {
+		text, ok := value.(string)
+		if !ok || len(text) <= maxFieldBytes {
+			continue
+		}
+		if shortened == nil {
+			// maps.Clone would make the fields of every call escape to the heap.
+			shortened = make(Fields, len(fields))
+			maps.Copy(shortened, fields)
+		}
+		shortened[name] = fmt.Sprintf("%s... (%d bytes)", text[:maxFieldBytes], len(text))
+	}
+	if shortened == nil {
+		return fields
+	}
+	return shortened
 }
 
 // allow returns the number of lines that were suppressed in the event's previous second,
--- a/event/ring_test.go
+++ b/event/ring_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"strings"
 	"testing"
@@ -55,6 +56,37 @@
 	c.Assert(out.String(), qt.Contains, "count=60 event=1005 of=2005")
 }
 
+// A request ID with line breaks or bytes that are not UTF-8 doesn't break its line into several,
+// and one of 1 MiB doesn't make the line too long for readers of the log: ended by its length, they
+// would miss all lines after it.
+func TestFieldsOfCallersStayOneShortLine(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log := event.NewLog(logger, "vm1")
+	fields := event.Fields{"request": "a\r\nb\x00\xff\u2028{", "attempt": 1}
+	log.Write(event.RequestRefused, fields)
+	fields["request"] = strings.Repeat("\x00", 1<<20)
+	log.Write(event.RequestRefused, fields)
+	c.Assert(fields["request"], qt.HasLen, 1<<20)
+	log.Write(event.StoreRecovered, nil)
+	lines := strings.SplitAfter(out.String(), "\n")
+	c.Assert(lines, qt.HasLen, 4)
+	c.Assert(lines[3], qt.Equals, "")
+	var parsed struct {
+		Request string
+		Attempt int
+	}
+	c.Assert(json.Unmarshal([]byte(lines[0]), &parsed), qt.IsNil)
+	c.Assert(parsed.Request, qt.Equals, "a\r\nb\x00\ufffd\u2028{")
+	c.Assert(json.Unmarshal([]byte(lines[1]), &parsed), qt.IsNil)
+	c.Assert(parsed.Attempt, qt.Equals, 1)
+	c.Assert(strings.HasSuffix(parsed.Request, "\x00... (1048576 bytes)"), qt.IsTrue)
+	c.Assert(len(lines[1]) < 1<<15, qt.IsTrue)
+}
+
 // Write on a nil log does nothing and does not panic.
 func TestNilLogWritesNothing(_ *testing.T) {
 	var log *event.Log
