entry: a comment at the end of SET no longer hides the settings after it

What callers of the PostgreSQL interface would see: none reported. The settings of a session are repeated on each further connection in one query, separated by semicolons: "SET a = 1 -- one;SET b = 2;". The comment extended over all settings after it, which kept the database's values. A line break before the semicolon ends the comment.

TestSettingsAfterComment failed before: got "SET a = 1 -- one;SET b = 2; -- two;SET c = 3;".

--- a/entry/setting.go
+++ b/entry/setting.go
@@ -181,7 +181,8 @@
 	var query strings.Builder
 	for _, setting := range session.upstreamSettings {
 		query.WriteString(setting.text)
-		query.WriteByte(';')
+		// The text may end in a comment.
+		query.WriteString("\n;")
 	}
 	return query.String()
 }
