pool: a connection with an unread answer is closed, and a reset is confirmed by its own answer

Callers of the PostgreSQL product would get another request's rows after a database had answered a request twice (MIXED): in the same session, or in another one after the reset in between.

Cause: an idle connection was checked for data in its socket only, but the protocol library had read the second answer into its own buffer with the first. The reset took the next ReadyForQuery for its answer, which was that of the second answer.

No database has been seen to do so here.

Fix: the check of an idle connection includes the library's buffer. A reset is confirmed if its answer ends with the tag of its last command and nothing follows; otherwise the connection is closed. A second answer that arrives only after the next request was sent is still not told apart within a session.

--- a/pool/alive.go
+++ b/pool/alive.go
@@ -12,8 +12,12 @@
 
 // isAlive reports whether an idle connection has received neither data nor an end of
 // stream. The slot sends nothing without a request, so after either a request on the
-// connection could only have an unknown outcome. A connection that fails after the check shows it only when it is used.
+// connection could only have an unknown outcome. A connection that fails after the check
+// shows it only when it is used.
 func (conn *Conn) isAlive() bool {
+	if conn.Frontend.ReadBufferLen() > 0 {
+		return false
+	}
 	if socket, ok := conn.net.(syscall.Conn); ok {
 		return sock.IsIdle(socket)
 	}
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -153,18 +154,24 @@
 	return row
 }
 
-// errNotReset means that after a reset the connection is in a transaction or has too many
-// prepared statements.
-var errNotReset = errors.New("connection is in a transaction or has too many prepared statements after its reset")
+// errNotReset means that the answer to a reset is that of another query or is followed by
+// another answer, or that after it the connection is in a transaction or has too many prepared
+// statements.
+var errNotReset = errors.New("reset of the connection is not confirmed, or left a transaction or too many prepared statements")
+
+// resetTag begins the tag of the last command of resetQuery.
+const resetTag = "DISCARD"
 
 func (conn *Conn) reset() error {
 	if err := conn.net.SetDeadline(time.Now().Add(resetTimeout)); err != nil {
 		return err
 	}
-	if _, err := conn.Exec(resetQuery); err != nil {
+	result, err := conn.Exec(resetQuery)
+	if err != nil {
 		return err
 	}
-	if conn.Status != 'I' || len(conn.prepared) > maxPrepared {
+	isConfirmed := strings.HasPrefix(result.Tag, resetTag) && conn.Frontend.ReadBufferLen() == 0
+	if !isConfirmed || conn.Status != 'I' || len(conn.prepared) > maxPrepared {
 		return errNotReset
 	}
 	return conn.net.SetDeadline(time.Time{})
--- /dev/null
+++ b/pool/stutter_test.go
@@ -0,0 +1,94 @@
+package pool
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleydoor/bramleydoor/clock"
+)
+
+// serveStuttering answers each query with its text, and the repeated one twice.
+func serveStuttering(conn net.Conn, repeated string) {
+	backend := pgproto3.NewBackend(conn, conn)
+	for {
+		message, err := backend.Receive()
+		if err != nil {
+			return
+		}
+		query, ok := message.(*pgproto3.Query)
+		if !ok {
+			_ = conn.Close()
+			return
+		}
+		count := 1
+		if query.String == repeated {
+			count = 2
+		}
+		for range count {
+			tag := "SELECT 1"
+			if query.String == resetQuery {
+				tag = "DISCARD TEMP"
+			}
+			backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(query.String)}})
+			backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		}
+		if backend.Flush() != nil {
+			return
+		}
+	}
+}
+
+// MIXED: after a database had answered twice, the next request on the connection got the second
+// answer: that of the same session, or that of another one, after a reset that was confirmed
+// by it.
+func TestConnWithUnreadAnswerIsClosed(t *testing.T) {
+	for name, repeated := range map[string]string{"statement": "SELECT 'a'", "reset": resetQuery} {
+		for _, nextSession := range []uint64{1, 2} {
+			t.Run(name, func(t *testing.T) {
+				c := qt.New(t)
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				c.Assert(err, qt.IsNil)
+				defer listener.Close()
+				pool := &Pool{
+					Clock: clock.System{}, Share: func() int { return 1 },
+					Open: func(_ context.Context, slot string) (*Conn, error) {
+						near, err := net.Dial("tcp", listener.Addr().String())
+						if err != nil {
+							return nil, err
+						}
+						far, err := listener.Accept()
+						if err != nil {
+							return nil, err
+						}
+						go serveStuttering(far, repeated)
+						return &Conn{Slot: slot, Status: 'I', net: near, Frontend: pgproto3.NewFrontend(near, near), prepared: make(map[string]struct{})}, nil
+					},
+				}
+				pool.SetQueueLimit(4)
+				ran := 0
+				use := func(session uint64, query string) {
+					conn, err := pool.Acquire(t.Context(), "a", Session{ID: session, Caller: "clerk"})
+					if err != nil {
+						// The reset of the connection wasn't confirmed, so nothing ran.
+						return
+					}
+					result, err := conn.Exec(query)
+					c.Assert(err, qt.IsNil)
+					c.Check(result.Rows, qt.DeepEquals, []Row{{query}})
+					ran++
+					pool.Release(conn, Session{ID: session, Caller: "clerk"})
+				}
+				use(1, "SELECT 'a'")
+				use(nextSession, "SELECT 'b'")
+				use(3, "SELECT 'c'")
+				use(4, "SELECT 'd'")
+				c.Check(ran > 1, qt.IsTrue)
+			})
+		}
+	}
+}
