entry: after RESET, a session's former connections are reset before it uses them

Cause: RESET and DISCARD ALL are answered by the proxy, which forgets the setting. But a session uses a connection again without a reset if nobody else has used it since, and the connection still had the value.

The fake database now keeps a session's settings, with their rollback, where it only acknowledged SET.

--- a/demo/prepared_test.go
+++ b/demo/prepared_test.go
@@ -113,3 +113,19 @@
 	c.Check(batch(c, conn, bind, execute, closing), qt.DeepEquals, []string{"b"})
 	c.Check(batch(c, conn, bind, execute), qt.DeepEquals, []string{"26000"})
 }
+
+// PINNED: after RESET, statements ran with the setting on connections that the session had used
+// before.
+func TestDroppedSettings(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTinyCluster(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	for _, drop := range []string{"RESET app.mode", "RESET ALL"} {
+		for range 20 {
+			exec(ctx, c, conn, "SET app.mode = 'a'")
+			c.Assert(show(ctx, c, conn, "app.mode"), qt.Equals, "a")
+			exec(ctx, c, conn, drop)
+			c.Assert(show(ctx, c, conn, "app.mode"), qt.Equals, "")
+		}
+	}
+}
--- a/entry/session.go
+++ b/entry/session.go
@@ -74,6 +74,8 @@
 	sessionSettings  settings
 	upstreamSettings []upstreamSetting
 	isReadOnly       bool
+	// settingsDropped counts how often settings were dropped that connections may still have.
+	settingsDropped uint32
 
 	output output
 	// isStaleRead is set while a replica answers a read with bounded staleness.
@@ -331,9 +333,13 @@
 	return session.answerError(failure, request.hasSync)
 }
 
-// poolSession identifies the session and its caller to the pool.
+// pidBits is the size of a process ID.
+const pidBits = 32
+
+// poolSession identifies the session and its caller to the pool. After settings were dropped
+// the session counts as another one, so that connections which it used before are reset.
 func (session *session) poolSession() pool.Session {
-	return pool.Session{ID: uint64(session.pid), Caller: session.user}
+	return pool.Session{ID: uint64(session.settingsDropped)<<pidBits | uint64(session.pid), Caller: session.user}
 }
 
 func (session *session) raiseMinPosition(position posn.Position) {
--- a/entry/setting.go
+++ b/entry/setting.go
@@ -161,6 +161,7 @@
 // resetSettings applies RESET or DISCARD to the session's recorded state and returns
 // the command tag.
 func (session *session) resetSettings(request *request) string {
+	session.settingsDropped++
 	name := parseSettingName(request.text)
 	if request.kind == stmt.Reset && name != "all" {
 		session.dropUpstreamSetting(name)
--- a/fakedb/forms.go
+++ b/fakedb/forms.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"regexp"
 	"sort"
 	"strconv"
@@ -78,6 +79,8 @@
 		{id: "commit", pattern: compilePattern(`(?:commit|end)(?:\s+transaction|\s+work)?`), endsTransaction: true, run: commit},
 		{id: "rollback", pattern: compilePattern(`(?:rollback|abort)(?:\s+transaction|\s+work)?`), endsTransaction: true, run: rollback},
 		{id: "show", pattern: compilePattern(`show_IDENT`), columns: []string{"setting"}, run: show},
+		{id: "set", pattern: compilePattern(`set_IDENT(?: = |_to_)VALUE`), run: setSetting},
+		{id: "reset", pattern: compilePattern(`reset_IDENT`), run: resetSetting},
 		{id: "other", pattern: compilePattern(`(set|reset|discard|close|unlisten|create|select pg.advisory.unlock.all)\b.*`), run: acknowledge},
 	}
 }
@@ -455,6 +458,7 @@
 func begin(session *session, args, _ []string) (result, error) {
 	isReadOnly := strings.Contains(strings.ToLower(args[0]), "read only")
 	session.tx = &transaction{slot: session.slot, isReadOnly: isReadOnly}
+	session.settingsAtBegin = session.settings
 	return result{tag: "BEGIN"}, nil
 }
 
@@ -468,11 +472,12 @@
 func rollback(session *session, _, _ []string) (result, error) {
 	session.tx.rollback()
 	session.tx, session.isAborted = nil, false
+	session.settings = session.settingsAtBegin
 	return result{tag: "ROLLBACK"}, nil
 }
 
 func show(session *session, args, _ []string) (result, error) {
-	setting := ""
+	setting := session.settings[args[0]]
 	if args[0] == "transaction_read_only" {
 		session.slot.mu.Lock()
 		setting = map[bool]string{true: "off", false: "on"}[session.slot.isPrimary]
@@ -481,6 +486,21 @@
 	return result{tag: "SHOW", rows: [][][]byte{row(setting)}}, nil
 }
 
+func setSetting(session *session, args, params []string) (result, error) {
+	session.settings = maps.Clone(session.settings)
+	session.settings[args[0]] = resolve(args[1], params)
+	return result{tag: "SET"}, nil
+}
+
+func resetSetting(session *session, args, _ []string) (result, error) {
+	session.settings = maps.Clone(session.settings)
+	if strings.EqualFold(args[0], "all") {
+		clear(session.settings)
+	}
+	delete(session.settings, args[0])
+	return result{tag: "RESET"}, nil
+}
+
 // acknowledge answers a statement that has no effect in the fake.
 func acknowledge(_ *session, args, _ []string) (result, error) {
 	return result{tag: strings.ToUpper(strings.Fields(args[0])[0])}, nil
--- a/fakedb/session.go
+++ b/fakedb/session.go
@@ -69,6 +69,7 @@
 		backend:    backend,
 		statements: make(map[string]*prepared),
 		portals:    make(map[string]*portal),
+		settings:   make(map[string]string),
 		cancelled:  make(chan struct{}, 1),
 	}
 	defer session.close()
@@ -95,6 +96,9 @@
 	isSkipping bool
 	statements map[string]*prepared
 	portals    map[string]*portal
+	// settings are the session's settings, settingsAtBegin those before the open transaction. A
+	// change replaces the map.
+	settings, settingsAtBegin map[string]string
 	// reportedPosition is the last position sent to the client.
 	reportedPosition posn.Position
 	// cancelled receives a value for each cancel request.
