entry: a rollback undoes the settings that its transaction changed

Callers of the PostgreSQL product that changed a setting in a transaction and rolled it back had later statements run with the changed value (PINNED).

Cause: the proxy repeats a session's SET statements on each connection, and recorded those of a transaction for good; the database undoes them with it.

Fix: the settings before a transaction are kept and come back unless it is committed; the session's former connections are reset then. ROLLBACK TO a savepoint, and SET in a text of several statements, are still not followed.

--- a/demo/prepared_test.go
+++ b/demo/prepared_test.go
@@ -1,6 +1,7 @@
 package demo_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -114,6 +115,28 @@
 	c.Check(batch(c, conn, bind, execute), qt.DeepEquals, []string{"26000"})
 }
 
+// PINNED: after a rollback, statements ran with the settings that the transaction had changed.
+func TestRolledBackSettings(t *testing.T) {
+	c := qt.New(t)
+	ctx, cluster := startTinyCluster(c)
+	conn := connect(ctx, c, cluster, 0, "")
+	exec(ctx, c, conn, "SET app.mode = 'a'")
+	for _, test := range []struct{ change, end, want string }{
+		{"SET app.mode = 'b'", "ROLLBACK", "a"},
+		{"SET app.mode = 'c'", "COMMIT", "c"},
+		{"RESET app.mode", "ROLLBACK", "c"},
+		{"SET app.mode = 'd'; no such statement", "COMMIT", "c"},
+		{"RESET app.mode", "COMMIT", ""},
+	} {
+		exec(ctx, c, conn, "BEGIN")
+		for _, text := range strings.Split(test.change, "; ") {
+			_, _ = conn.Exec(ctx, text)
+		}
+		exec(ctx, c, conn, test.end)
+		c.Check(show(ctx, c, conn, "app.mode"), qt.Equals, test.want, qt.Commentf("%v", test))
+	}
+}
+
 // PINNED: after RESET, statements ran with the setting on connections that the session had used
 // before.
 func TestDroppedSettings(t *testing.T) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -169,6 +169,7 @@
 		session.router.Pool.Discard(conn)
 		return err
 	}
+	session.saveSettings()
 	session.setActive(conn)
 	result, err := session.exchange(conn, request, minPosition)
 	session.setActive(nil)
@@ -255,6 +256,9 @@
 	position := conn.Position
 	session.pinned = nil
 	session.endTransaction()
+	if result.isError || result.tag == "ROLLBACK" {
+		session.restoreSettings()
+	}
 	session.router.Pool.Release(conn, session.poolSession())
 	return session.finish(ctx, position)
 }
@@ -268,6 +272,7 @@
 	isCommit := request.mayCommit || session.pinned.Status == 'I' && request.hasSync
 	session.router.Pool.Discard(session.pinned)
 	session.pinned = nil
+	session.restoreSettings()
 	var failure *fault.Error
 	if errors.As(err, &failure) {
 		session.failTransaction(request)
--- a/entry/session.go
+++ b/entry/session.go
@@ -74,6 +74,10 @@
 	sessionSettings  settings
 	upstreamSettings []upstreamSetting
 	isReadOnly       bool
+	// savedSettings and savedReadOnly are upstreamSettings and isReadOnly before the open
+	// transaction.
+	savedSettings []upstreamSetting
+	savedReadOnly bool
 	// settingsDropped counts how often settings were dropped that connections may still have.
 	settingsDropped uint32
 
--- a/entry/setting.go
+++ b/entry/setting.go
@@ -158,6 +158,20 @@
 	}
 }
 
+// saveSettings keeps the settings before a transaction.
+func (session *session) saveSettings() {
+	session.savedSettings, session.savedReadOnly = slices.Clone(session.upstreamSettings), session.isReadOnly
+}
+
+// restoreSettings undoes the changes of settings in a transaction that was rolled back.
+func (session *session) restoreSettings() {
+	if slices.Equal(session.upstreamSettings, session.savedSettings) {
+		return
+	}
+	session.upstreamSettings, session.isReadOnly = session.savedSettings, session.savedReadOnly
+	session.settingsDropped++
+}
+
 // resetSettings applies RESET or DISCARD to the session's recorded state and returns
 // the command tag.
 func (session *session) resetSettings(request *request) string {
