fakeup, audit: databases may give answers twice; rows and executed definitions are recorded

Change: Database.Stutter gives a share of the answers again after a delay; a request returns the earliest unread answer. A run has its rows and its definition; the audit compares both (rule prepared, a case in TestRules).

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -12,6 +12,7 @@
 //	formerPrimary     no commit of a former primary is acknowledged (rule 7)
 //	unmixed           a transaction does not share its connection (rule 14)
 //	values            a statement runs with its session's values (rule 14)
+//	prepared          an execution runs the statement that its session prepared (rule 14)
 //	neverBack         a VM does not revert to an older configuration (rule 17)
 //	inForce           a configuration takes effect in time (rule 17)
 //	stops             a planned stop interrupts no request (rule 21)
@@ -64,6 +65,9 @@
 	Process string
 	// Values are the values that the session has set, by name.
 	Values map[string]string
+	// Prepared is the definition that the session has prepared under the name which the request
+	// executes, as in fakeup.Run; empty for other requests.
+	Prepared string
 	// StartedAt is the time when the request, or the first request of its transaction,
 	// was sent, SentAt the time when the request itself was sent. AnsweredAt is the time
 	// of the answer, or for an unanswered request the time when the caller gave up or
@@ -131,6 +135,7 @@
 	{"reads", checkReads},
 	{"unmixed", checkUnmixed},
 	{"values", checkValues},
+	{"prepared", checkPrepared},
 	{"neverBack", checkNeverBack},
 	{"inForce", checkInForce},
 	{"stops", checkStops},
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -37,7 +37,7 @@
 		{ID: "lost", Kind: audit.Write, Text: "WRITE l 1", Session: 4, IsUnanswered: true, StartedAt: at(1560), AnsweredAt: at(1570)},
 	}
 	run := func(id, text string, end, committed posn.Position) fakeup.Run {
-		return fakeup.Run{ID: id, Text: text, Proof: "p-" + id, Position: end, Committed: committed}
+		return fakeup.Run{ID: id, Text: text, Rows: []string{text}, Proof: "p-" + id, Position: end, Committed: committed}
 	}
 	w1 := run("w1", "WRITE x 1", position(1, 2), position(1, 2))
 	t1 := run("t1", "WRITE y 1", position(2, 2), posn.Position{})
@@ -108,8 +108,9 @@
 		"transactions of two sessions in one database transaction": {"unmixed", func(history *audit.History) {
 			op(history, "stop").Tx, run(history, "stop").Transaction = 8, 1
 		}},
-		"missing session value":    {"values", func(history *audit.History) { run(history, "r2").Values = nil }},
-		"value of another session": {"values", func(history *audit.History) { run(history, "r1").Values = map[string]string{"zone": "b"} }},
+		"missing session value":      {"values", func(history *audit.History) { run(history, "r2").Values = nil }},
+		"value of another session":   {"values", func(history *audit.History) { run(history, "r1").Values = map[string]string{"zone": "b"} }},
+		"another prepared statement": {"prepared", func(history *audit.History) { run(history, "r2").Prepared = "READ y" }},
 		"older configuration": {"neverBack", func(history *audit.History) {
 			history.Ops = append(history.Ops, audit.Op{
 				ID: "back", Kind: audit.Open, Version: 1, AcceptedAt: at(0), Process: "vm1/1", StartedAt: at(1000), AnsweredAt: at(1001),
--- a/audit/rules.go
+++ b/audit/rules.go
@@ -78,8 +78,8 @@
 			checker.addFinding("%s %s succeeded with proof %q, which is of none of its runs", op.Kind, op.ID, op.Answer.Proof)
 			return
 		}
-		if !slices.Equal(op.Answer.Rows, []string{run.Text}) {
-			checker.addFinding("%s %s succeeded with rows %q, which are not those of its run", op.Kind, op.ID, op.Answer.Rows)
+		if !slices.Equal(op.Answer.Rows, run.Rows) {
+			checker.addFinding("%s %s succeeded with rows %q, but its run has %q", op.Kind, op.ID, op.Answer.Rows, run.Rows)
 		}
 	})
 }
@@ -194,6 +194,21 @@
 	}
 }
 
+func checkPrepared(checker *checker) {
+	for id, runs := range checker.runsByID {
+		op, ok := checker.opsByID[id]
+		if !ok {
+			continue
+		}
+		for _, run := range runs {
+			checker.countCheck()
+			if run.Prepared != op.Prepared {
+				checker.addFinding("%s %s executed %q, but its session prepared %q", op.Kind, id, run.Prepared, op.Prepared)
+			}
+		}
+	}
+}
+
 func checkNeverBack(checker *checker) {
 	// shownAt has, by process and version, the earliest answer that shows that the
 	// process has that configuration version.
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strconv"
@@ -50,6 +51,8 @@
 	// Slots is how many requests the database runs at a time; zero is no limit. Requests for a
 	// report and new connections need a slot too.
 	Slots int
+	// Stutter makes the database give answers twice.
+	Stutter Stutter
 	// Opened counts all connections opened so far, Open those open now.
 	Opened, Open int
 
@@ -72,12 +75,16 @@
 	Position posn.Position
 	// Values are the values set on the connection.
 	Values map[string]string
+	// Prepared is the definition of the prepared statement that was executed, see Definition;
+	// empty if none was.
+	Prepared string
 	// Conn is the number of the connection, unique in the upstream.
 	Conn int
 	// Team is the team as which the connection was opened.
 	Team string
-	// Proof is the proof in the answer.
+	// Proof and Rows are those of the answer.
 	Proof string
+	Rows  []string
 	// At is when the statement ran.
 	At time.Time
 	// Committed is the position of its commit; zero if it committed nothing.
@@ -109,6 +116,9 @@
 	PromotionDuration time.Duration
 	// SyncReplicas is how many replicas must have received a commit before it is answered: 0 or 1.
 	SyncReplicas int
+	// OnRun is called with each statement that ran, and may change the proof and the rows of its
+	// answer; nil for none. It must be set before the first request.
+	OnRun func(run *Run)
 
 	mu sync.Mutex
 	// orderDelay is the time until the platform acts on an order. onOrder is called with each
@@ -266,7 +276,15 @@
 	return &conn{vm: vm, team: team, number: upstream.connCount, upstream: upstream, database: database, values: make(map[string]string), definitions: make(map[string]proto.Definition)}, proto.Answer{}, nil
 }
 
-// conn is a connection to a database. It implements proto.DatabaseConn.
+// Conn is a connection to a database.
+type Conn interface {
+	proto.DatabaseConn
+	// Run runs a request and returns its answer, whatever answers are unread. The duration is
+	// the time until the answer is given again; zero is never.
+	Run(request proto.Request, timeout time.Duration) (proto.Answer, time.Duration, error)
+}
+
+// conn implements Conn.
 type conn struct {
 	vm            string
 	team          string
@@ -283,13 +301,18 @@
 	transaction int
 	// committed is the position of the commit that the present request has made.
 	committed posn.Position
+	// unread has the answers that the VM has not read, in the order of their arrival.
+	unread []arrival
+	// random draws the answers that are given twice; nil before the first.
+	random *rand.Rand
 }
 
-// IsAlive reports whether the connection is open and its database is not down.
+// IsAlive reports whether the connection is open, its database is not down, and no unread
+// answer has arrived.
 func (conn *conn) IsAlive() bool {
 	conn.upstream.mu.Lock()
 	defer conn.upstream.mu.Unlock()
-	return !conn.isClosed && !conn.database.IsDown
+	return !conn.isClosed && !conn.database.IsDown && !conn.hasUnread()
 }
 
 // Receive returns proto.ErrLost: no request has more than one answer.
@@ -308,16 +331,16 @@
 	}
 }
 
-// Ask runs a request. proto.ErrLost means that the database did not answer, or that
+// Run implements Conn. proto.ErrLost means that the database did not answer, or that
 // AnswersToLose applied.
-func (conn *conn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
+func (conn *conn) Run(request proto.Request, timeout time.Duration) (proto.Answer, time.Duration, error) {
 	upstream, database := conn.upstream, conn.database
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
 	deadline := time.Now().Add(timeout)
 	if needsSlot(request) {
 		if !database.takeSlot(upstream, timeout) {
-			return proto.Answer{}, proto.ErrLost
+			return proto.Answer{}, 0, proto.ErrLost
 		}
 		defer func() { database.busy-- }()
 	}
@@ -326,10 +349,10 @@
 	}
 	if database.IsUnresponsive || database.UnreachableFrom[conn.vm] {
 		upstream.sleep(timeout)
-		return proto.Answer{}, proto.ErrLost
+		return proto.Answer{}, 0, proto.ErrLost
 	}
 	if database.IsDown || conn.isClosed {
-		return proto.Answer{}, proto.ErrLost
+		return proto.Answer{}, 0, proto.ErrLost
 	}
 	upstream.replicate()
 	answer := conn.runRequest(request)
@@ -337,18 +360,18 @@
 	if committed := conn.committed; !committed.IsZero() {
 		conn.committed = posn.Position{}
 		if !upstream.awaitReplica(conn, committed, time.Until(deadline)) {
-			return proto.Answer{}, proto.ErrLost
+			return proto.Answer{}, 0, proto.ErrLost
 		}
 	}
 	if isStatement(request) && answer.Code == proto.OK && database.AnswersToLose > 0 {
 		database.AnswersToLose--
-		return proto.Answer{}, proto.ErrLost
+		return proto.Answer{}, 0, proto.ErrLost
 	}
 	answer.Position = conn.database.Position()
 	if conn.inTransaction {
 		answer.State = proto.Open
 	}
-	return answer, nil
+	return answer, conn.drawDelay(request), nil
 }
 
 // AskAll runs requests one after the other.
@@ -396,17 +419,14 @@
 		clear(conn.values)
 		clear(conn.definitions)
 	case proto.Forward:
-		return conn.runStatement(request.ID, request.Text, request.MinPosition)
+		return conn.runStatement(Run{ID: request.ID, Text: request.Text}, request.MinPosition)
 	case proto.ForwardPrepared:
 		definition, ok := conn.definitions[request.Name]
 		if !ok {
 			return proto.Answer{Code: proto.UnknownName}
 		}
-		keyword := "READ "
-		if definition.Writes {
-			keyword = "WRITE "
-		}
-		return conn.runStatement(request.ID, keyword+definition.Text+" "+request.Arguments, request.MinPosition)
+		prepared := Definition(definition)
+		return conn.runStatement(Run{ID: request.ID, Text: prepared + " " + request.Arguments, Prepared: prepared}, request.MinPosition)
 	default:
 		return conn.runControl(request)
 	}
@@ -438,9 +458,17 @@
 	}}
 }
 
-// runStatement runs a caller's statement and records it. A write outside a transaction
-// commits at once.
-func (conn *conn) runStatement(id, text string, minPosition posn.Position) proto.Answer {
+// Definition returns the text of a prepared statement, without its arguments.
+func Definition(definition proto.Definition) string {
+	if definition.Writes {
+		return "WRITE " + definition.Text
+	}
+	return "READ " + definition.Text
+}
+
+// runStatement runs a caller's statement and records it in run, which has its ID and text. A
+// write outside a transaction commits at once.
+func (conn *conn) runStatement(run Run, minPosition posn.Position) proto.Answer {
 	database, upstream := conn.database, conn.upstream
 	if database.BusyRefusals > 0 {
 		database.BusyRefusals--
@@ -449,18 +477,20 @@
 	if !database.Position().AtLeast(minPosition) {
 		return proto.Answer{Code: proto.Lagging}
 	}
-	isWrite := strings.HasPrefix(text, "WRITE")
-	isCommit := text == "COMMIT"
+	isWrite := strings.HasPrefix(run.Text, "WRITE")
+	isCommit := run.Text == "COMMIT"
 	if (isWrite || isCommit && conn.hasWrites) && !database.leads {
 		return proto.Answer{Code: proto.ReadOnly}
 	}
 	if isWrite && conn.inTransaction {
 		conn.hasWrites = true
 	}
-	run := Run{
-		Database: database.ID, ID: id, Text: text, Values: maps.Clone(conn.values), Conn: conn.number, Team: conn.team,
-		Proof: "proof-" + strconv.Itoa(len(upstream.runs)+1), At: time.Now(),
-		ByFormerPrimary: database.leads && database.ID != upstream.primary, Transaction: conn.transaction,
+	run.Database, run.Conn, run.Team, run.Transaction = database.ID, conn.number, conn.team, conn.transaction
+	run.Values, run.At = maps.Clone(conn.values), time.Now()
+	run.Proof, run.Rows = "proof-"+strconv.Itoa(len(upstream.runs)+1), []string{run.Text}
+	run.ByFormerPrimary = database.leads && database.ID != upstream.primary
+	if upstream.OnRun != nil {
+		upstream.OnRun(&run)
 	}
 	if isWrite && !conn.inTransaction || isCommit && conn.hasWrites {
 		run.Committed = upstream.appendCommit(database)
@@ -471,5 +501,5 @@
 	}
 	run.Position = database.Position()
 	upstream.runs = append(upstream.runs, run)
-	return proto.Answer{Rows: []string{text}, Proof: run.Proof}
+	return proto.Answer{Rows: run.Rows, Proof: run.Proof}
 }
