--- a/fakeup/caller.go
+++ b/fakeup/caller.go
@@ -81,8 +81,13 @@
 // Ask makes a call and returns its answer.
 func (callerConn *CallerConn) Ask(statement proto.Statement, text string) proto.Answer {
 	callerConn.callCount++
+	return callerConn.Call(proto.Call{ID: fmt.Sprintf("call-%d", callerConn.callCount), Text: text, Statement: statement})
+}
+
+// Call makes a call with an ID of the test's and returns its answer.
+func (callerConn *CallerConn) Call(call proto.Call) proto.Answer {
 	select {
-	case callerConn.calls <- proto.Call{ID: fmt.Sprintf("call-%d", callerConn.callCount), Text: text, Statement: statement}:
+	case callerConn.calls <- call:
 	case <-callerConn.ended:
 	}
 	return callerConn.answer()
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -279,9 +279,11 @@
 // Conn is a connection to a database.
 type Conn interface {
 	proto.DatabaseConn
-	// Run runs a request and returns its answer, whatever answers are unread. The duration is
-	// the time until the answer is given again; zero is never.
-	Run(request proto.Request, timeout time.Duration) (proto.Answer, time.Duration, error)
+	// Run runs a request and returns its answer, whatever answers are unread.
+	Run(request proto.Request, timeout time.Duration) (proto.Answer, error)
+	// DrawRepeat returns the time after which the answer to a request, or to the start of the
+	// connection if that is nil, is given again; zero is never.
+	DrawRepeat(request proto.Request) time.Duration
 }
 
 // conn implements Conn.
@@ -333,14 +335,14 @@
 
 // Run implements Conn. proto.ErrLost means that the database did not answer, or that
 // AnswersToLose applied.
-func (conn *conn) Run(request proto.Request, timeout time.Duration) (proto.Answer, time.Duration, error) {
+func (conn *conn) Run(request proto.Request, timeout time.Duration) (proto.Answer, error) {
 	upstream, database := conn.upstream, conn.database
 	upstream.mu.Lock()
 	defer upstream.mu.Unlock()
 	deadline := time.Now().Add(timeout)
 	if needsSlot(request) {
 		if !database.takeSlot(upstream, timeout) {
-			return proto.Answer{}, 0, proto.ErrLost
+			return proto.Answer{}, proto.ErrLost
 		}
 		defer func() { database.busy-- }()
 	}
@@ -349,10 +351,10 @@
 	}
 	if database.IsUnresponsive || database.UnreachableFrom[conn.vm] {
 		upstream.sleep(timeout)
-		return proto.Answer{}, 0, proto.ErrLost
+		return proto.Answer{}, proto.ErrLost
 	}
 	if database.IsDown || conn.isClosed {
-		return proto.Answer{}, 0, proto.ErrLost
+		return proto.Answer{}, proto.ErrLost
 	}
 	upstream.replicate()
 	answer := conn.runRequest(request)
@@ -360,18 +362,18 @@
 	if committed := conn.committed; !committed.IsZero() {
 		conn.committed = posn.Position{}
 		if !upstream.awaitReplica(conn, committed, time.Until(deadline)) {
-			return proto.Answer{}, 0, proto.ErrLost
+			return proto.Answer{}, proto.ErrLost
 		}
 	}
 	if isStatement(request) && answer.Code == proto.OK && database.AnswersToLose > 0 {
 		database.AnswersToLose--
-		return proto.Answer{}, 0, proto.ErrLost
+		return proto.Answer{}, proto.ErrLost
 	}
 	answer.Position = conn.database.Position()
 	if conn.inTransaction {
 		answer.State = proto.Open
 	}
-	return answer, conn.drawDelay(request), nil
+	return answer, nil
 }
 
 // AskAll runs requests one after the other.
--- a/fakeup/stutter.go
+++ b/fakeup/stutter.go
@@ -27,8 +27,10 @@
 	at     time.Time
 }
 
-// drawDelay returns the time until the answer to a request is given again; zero is never.
-func (conn *conn) drawDelay(request proto.Request) time.Duration {
+// DrawRepeat implements Conn.
+func (conn *conn) DrawRepeat(request proto.Request) time.Duration {
+	conn.upstream.mu.Lock()
+	defer conn.upstream.mu.Unlock()
 	stutter := conn.database.Stutter
 	if stutter.Share == 0 || stutter.Only != nil && !stutter.Only(request) {
 		return 0
@@ -55,10 +57,11 @@
 // arrives next for the answer to its request. An answer that arrives while the request runs
 // is returned when that has ended.
 func (conn *conn) Ask(request proto.Request, timeout time.Duration) (proto.Answer, error) {
-	answer, delay, err := conn.Run(request, timeout)
+	answer, err := conn.Run(request, timeout)
 	if err != nil {
 		return proto.Answer{}, err
 	}
+	delay := conn.DrawRepeat(request)
 	conn.upstream.mu.Lock()
 	defer conn.upstream.mu.Unlock()
 	now := time.Now()
