--- a/vmrun/schedule_test.go
+++ b/vmrun/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -207,18 +208,24 @@
 	return violations
 }
 
-// LOST, STALE, ONE: whatever faults of databases, VMs, the store and the platform come together
-// around a promotion, it loses no acknowledged commit where replication is synchronous, no read
-// misses a commit that was acknowledged before it, and no former primary's commit is confirmed.
-func TestPromisesUnderFaults(t *testing.T) {
-	// -rapid.seed and -rapid.checks select other schedules, and more of them.
+// checkRapid checks a property with a seed and a number of checks. -rapid.seed and -rapid.checks
+// select others, and more of them.
+func checkRapid(t *testing.T, seed, checks int, property func(rt *rapid.T)) {
+	t.Helper()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "2")
-		_ = flag.Set("rapid.checks", "12")
+		_ = flag.Set("rapid.seed", strconv.Itoa(seed))
+		_ = flag.Set("rapid.checks", strconv.Itoa(checks))
 		defer func() { _, _ = flag.Set("rapid.seed", "0"), flag.Set("rapid.checks", "100") }()
 	}
 	_ = flag.Set("rapid.nofailfile", "true")
-	rapid.Check(t, func(rt *rapid.T) {
+	rapid.Check(t, property)
+}
+
+// LOST, STALE, ONE: whatever faults of databases, VMs, the store and the platform come together
+// around a promotion, it loses no acknowledged commit where replication is synchronous, no read
+// misses a commit that was acknowledged before it, and no former primary's commit is confirmed.
+func TestPromisesUnderFaults(t *testing.T) {
+	checkRapid(t, 2, 12, func(rt *rapid.T) {
 		replicas := rapid.IntRange(0, 1).Draw(rt, "replicas")
 		rounds := rapid.SliceOfN(rapid.Custom(drawRound), 1, 2).Draw(rt, "rounds")
 		if violations := playRounds(t, replicas, rounds); len(violations) > 0 {
