soak, platform: callers and databases with odd bytes, databases that stutter

Change: texts, values, definitions, arguments, rows and proofs begin and end in odd bytes; values are set between a transaction's last statement and its COMMIT; seeds with faults have databases that give 2% of their answers twice, and the fault databaseStutters 20%. FakeCaller speaks the protocol by itself, so that the audit compares what the caller wrote with what the database read byte for byte. The audit's rule prepared is required.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -11,7 +11,6 @@
 	"github.com/bramleydoor/bramleydoor/audit"
 	"github.com/bramleydoor/bramleydoor/config"
 	"github.com/bramleydoor/bramleydoor/platform"
-	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
@@ -74,7 +73,7 @@
 	recorder *recorder
 	random   *rand.Rand
 	vm       *vm
-	conn     proto.DatabaseConn
+	conn     *platform.FakeCaller
 	number   int
 	requests int
 	// process names the VM's process that the session was opened to.
@@ -82,9 +81,18 @@
 	group   string
 	access  config.Access
 	// values has the settings that the session has successfully set, by name.
-	values     map[string]string
-	isPrepared bool
-	isClosed   bool
+	values map[string]string
+	// prepared is the definition of the statement that the session has prepared; empty for none.
+	prepared string
+	isClosed bool
+}
+
+// oddEnds are bytes that begin and end texts, values, definitions, rows and proofs.
+var oddEnds = []string{"", "", "", " ", "  ", "\t", "\r", "\r\r", "\n", "\n\r", "\x00", "\x80", "\xff"}
+
+// odd adds odd bytes to both ends of a text.
+func (session *session) odd(text string) string {
+	return oddEnds[session.random.IntN(len(oddEnds))] + text + oddEnds[session.random.IntN(len(oddEnds))]
 }
 
 // runCaller runs sessions one after the other until ctx ends.
@@ -123,8 +131,8 @@
 	setAt := fleet.configSetAt[version]
 	fleet.mu.Unlock()
 	op := audit.Op{Kind: audit.Open, Group: "group0", Version: version, AcceptedAt: setAt}
-	if databaseConn := recorder.dial(vm, versionName(version), op); databaseConn != nil {
-		databaseConn.Close()
+	if fakeCaller := recorder.dial(vm, versionName(version), op); fakeCaller != nil {
+		fakeCaller.Close()
 	}
 }
 
@@ -147,17 +155,17 @@
 
 // dial connects to a VM and records the outcome as op; nil if the session is refused or
 // the answer lost.
-func (recorder *recorder) dial(vm *vm, database string, op audit.Op) proto.DatabaseConn {
+func (recorder *recorder) dial(vm *vm, database string, op audit.Op) *platform.FakeCaller {
 	op.ID = fmt.Sprintf("o%d", recorder.nextSession())
 	op.Process, op.StartedAt = vm.processName(), time.Now()
-	databaseConn, answer, err := platform.DialCaller(vm.address(), database, "soak", openTimeout)
+	fakeCaller, answer, err := platform.DialCaller(vm.address(), database, "soak", openTimeout)
 	op.AnsweredAt, op.Answer, op.IsUnanswered = time.Now(), answer, err != nil
 	op.IsStopping = !vm.stopTime().IsZero()
 	recorder.add(op)
 	if err != nil || answer.Code != proto.OK {
 		return nil
 	}
-	return databaseConn
+	return fakeCaller
 }
 
 // runOperation pauses and then runs one random operation.
@@ -165,30 +173,49 @@
 	sleep(ctx, time.Duration(session.random.Int64N(int64(maxPause))))
 	switch session.random.IntN(10) {
 	case 0:
-		value := fmt.Sprint(session.random.IntN(1000))
-		if session.sendControl("SET zone " + value) {
-			session.values["zone"] = value
-		}
+		session.setValue()
 	case 1:
-		session.isPrepared = session.sendControl("PREPARE s1 READ q1") || session.isPrepared
+		definition := "READ " + session.odd(fmt.Sprintf("q%d", session.random.IntN(3)))
+		if session.sendControl("PREPARE s1 " + definition) {
+			session.prepared = definition
+		}
 	case 2:
-		if session.isPrepared {
-			session.runStatement(audit.Read, "EXECUTE s1 1a", "READ q1 1a", 0, time.Now())
+		if session.prepared != "" {
+			session.execute(session.odd("1a"), 0, time.Now())
 		}
 	case 3, 4, 5:
 		session.runTransaction(ctx)
 	case 6, 7:
 		session.runWrite(0, time.Now())
 	default:
-		session.runStatement(audit.Read, "READ x", "READ x", 0, time.Now())
+		session.runRead(0, time.Now())
+	}
+}
+
+// setValue sets a value of the session.
+func (session *session) setValue() {
+	value := session.odd(fmt.Sprint(session.random.IntN(1000)))
+	if session.sendControl("SET zone " + value) {
+		session.values["zone"] = value
 	}
 }
 
+func (session *session) runRead(tx int, began time.Time) bool {
+	text := "READ " + session.odd("x")
+	return session.runStatement(audit.Op{Kind: audit.Read, Text: text}, text, tx, began)
+}
+
+// execute executes the prepared statement.
+func (session *session) execute(arguments string, tx int, began time.Time) bool {
+	op := audit.Op{Kind: audit.Read, Text: session.prepared + " " + arguments, Prepared: session.prepared}
+	return session.runStatement(op, "EXECUTE s1 "+arguments, tx, began)
+}
+
 // runWrite writes a value that no other request writes. The transaction tx is zero for
 // a single statement.
 func (session *session) runWrite(tx int, began time.Time) bool {
-	text := fmt.Sprintf("WRITE x %d.%d", session.number, session.requests)
-	return session.runStatement(audit.Write, text, text, tx, began)
+	text := "WRITE " + session.odd(fmt.Sprintf("x %d.%d", session.number, session.requests))
+	return session.runStatement(audit.Op{Kind: audit.Write, Text: text}, text, tx, began)
 }
 
 // runTransaction runs a transaction of one to three statements and rolls it back if one
@@ -205,7 +232,7 @@
 		if session.random.IntN(2) == 0 {
 			isOK = session.runWrite(tx, began)
 		} else {
-			isOK = session.runStatement(audit.Read, "READ x", "READ x", tx, began)
+			isOK = session.runRead(tx, began)
 		}
 		if !isOK {
 			session.sendControl("ROLLBACK")
@@ -213,13 +240,16 @@
 		}
 		sleep(ctx, time.Duration(session.random.Int64N(int64(maxPause))))
 	}
+	if session.random.IntN(4) == 0 {
+		session.setValue()
+	}
 	switch session.random.IntN(10) {
 	case 0:
 		session.sendControl("ROLLBACK")
 	case 1:
 		session.isClosed = true // ends the session in mid-transaction
 	default:
-		if !session.runStatement(audit.Commit, "COMMIT", "COMMIT", tx, began) && !session.isClosed {
+		if !session.runStatement(audit.Op{Kind: audit.Commit, Text: "COMMIT"}, "COMMIT", tx, began) && !session.isClosed {
 			session.isClosed = true
 		}
 	}
@@ -231,7 +261,7 @@
 	if session.isClosed {
 		return false
 	}
-	answer, err := session.conn.Ask(proto.Forward{ID: session.nextRequestID(), Text: text}, answerTimeout)
+	answer, err := session.conn.Ask(session.nextRequestID(), text, answerTimeout)
 	session.isClosed = session.isClosed || err != nil
 	return err == nil && answer.Code == proto.OK
 }
@@ -241,20 +271,18 @@
 	return fmt.Sprintf("s%d.%d", session.number, session.requests)
 }
 
-// runStatement sends a request and records the outcome. The caller sends text; executed
-// is the statement that a database runs for it, which differs for a prepared statement.
-// The time began is the start of the request's transaction, or of the request itself.
-// runStatement reports whether the request succeeded.
-func (session *session) runStatement(kind audit.Kind, text, executed string, tx int, began time.Time) bool {
+// runStatement sends a request and records the outcome. The caller sends text; op has the
+// kind, the statement that a database runs for it, which differs for a prepared statement,
+// and the latter's definition. The time began is the start of the request's transaction, or
+// of the request itself. runStatement reports whether the request succeeded.
+func (session *session) runStatement(op audit.Op, text string, tx int, began time.Time) bool {
 	if session.isClosed {
 		return false
 	}
-	op := audit.Op{
-		ID: session.nextRequestID(), Kind: kind, Text: executed, Group: session.group, Access: session.access, MaxStaleness: maxStaleness,
-		Session: session.number, Tx: tx, Process: session.process, Values: maps.Clone(session.values), StartedAt: began,
-	}
+	op.ID, op.Group, op.Access, op.MaxStaleness = session.nextRequestID(), session.group, session.access, maxStaleness
+	op.Session, op.Tx, op.Process, op.Values, op.StartedAt = session.number, tx, session.process, maps.Clone(session.values), began
 	sent := time.Now()
-	answer, err := session.conn.Ask(proto.Forward{ID: op.ID, Text: text, MinPosition: posn.Position{}}, answerTimeout)
+	answer, err := session.conn.Ask(op.ID, text, answerTimeout)
 	op.SentAt, op.AnsweredAt, op.Answer, op.IsUnanswered = sent, time.Now(), answer, err != nil
 	op.IsStopping = !session.vm.stopTime().IsZero() && session.vm.processName() == session.process
 	session.isClosed = err != nil
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -67,6 +67,12 @@
 			fake.AnswersToLose = 8
 		}
 	})},
+	{"databaseStutters", false, 5 * time.Second, onRandomDatabase(func(fake *fakeup.Database, isOn bool) {
+		fake.Stutter = normalStutter
+		if isOn {
+			fake.Stutter.Share *= 10
+		}
+	})},
 	{"databaseBusy", false, 0, onRandomDatabase(func(fake *fakeup.Database, isOn bool) {
 		if isOn {
 			fake.BusyRefusals = 20
@@ -96,12 +102,18 @@
 	initialDelay = 2 * time.Second
 )
 
-// newSchedule draws the faults of a run. A third of the seeds have planned work only,
+// normalStutter is that of databases between the faults of a run.
+var normalStutter = fakeup.Stutter{Share: 0.02, MinDelay: time.Millisecond, MaxDelay: 20 * time.Millisecond}
+
+// hasFaults reports whether a seed has faults. A third of the seeds have planned work only,
 // since the guarantees on planned work can be checked only where no fault interferes.
+func hasFaults(seed uint64) bool { return seed%3 != 1 }
+
+// newSchedule draws the faults of a run.
 func newSchedule(seed uint64, duration time.Duration) []scheduledFault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	kinds := faults
-	if seed%3 == 1 {
+	if !hasFaults(seed) {
 		kinds = slices.DeleteFunc(slices.Clone(faults), func(fault fault) bool { return !fault.isPlanned })
 	}
 	var schedule []scheduledFault
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -99,6 +100,12 @@
 	for i := range groupCount {
 		name := fmt.Sprintf("group%d", i)
 		fleet.groups[name] = fakeup.New(name)
+		fleet.groups[name].OnRun = func(run *fakeup.Run) {
+			first, last := oddEnds[len(run.Text)%len(oddEnds)], oddEnds[len(run.ID)%len(oddEnds)]
+			// CR LF would end the row.
+			row := strings.ReplaceAll(first+run.Text+last, "\r\n", "\n")
+			run.Rows, run.Proof = []string{row, last}, first+run.Proof+last
+		}
 		for j, id := range []string{"a", "b", "c"} {
 			fleet.databases = append(fleet.databases, &platform.FakeDatabase{
 				Upstream: fleet.groups[name], ID: id, Slots: 8, Store: fleet.store.Tree,
@@ -144,7 +151,12 @@
 // start starts the fakes, and then the VMs.
 func (fleet *fleet) start() error {
 	for _, database := range fleet.databases {
-		database.Upstream.Do(database.ID, func(fake *fakeup.Database) { fake.MaxConnections = maxConnections })
+		database.Upstream.Do(database.ID, func(fake *fakeup.Database) {
+			fake.MaxConnections = maxConnections
+			if hasFaults(fleet.soak.Seed) {
+				fake.Stutter = normalStutter
+			}
+		})
 		if err := database.Start(); err != nil {
 			return err
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,7 +40,7 @@
 			text, err := json.Marshal(report)
 			c.Assert(err, qt.IsNil)
 			c.Assert(report.Findings, qt.HasLen, 0, qt.Commentf("%s", text))
-			for _, rule := range []string{"asked", "once", "proof", "reads", "unmixed", "values"} {
+			for _, rule := range []string{"asked", "once", "proof", "reads", "unmixed", "values", "prepared"} {
 				c.Assert(report.Checked[rule] > 0, qt.IsTrue, qt.Commentf("rule %q was never checked", rule))
 			}
 		})
--- a/soak/trial.go
+++ b/soak/trial.go
@@ -16,15 +16,15 @@
 // trialWrite writes to a group through the VM at address. A connection or answer that
 // is lost gives proto.InDoubt.
 func trialWrite(address, group string) proto.Code {
-	databaseConn, answer, err := platform.DialCaller(address, group+"-"+config.Current.String(), "soak", openTimeout)
+	fakeCaller, answer, err := platform.DialCaller(address, group+"-"+config.Current.String(), "soak", openTimeout)
 	if err != nil {
 		return proto.InDoubt
 	}
 	if answer.Code != proto.OK {
 		return answer.Code
 	}
-	defer databaseConn.Close()
-	answer, err = databaseConn.Ask(proto.Forward{ID: trialID, Text: "WRITE trial 1"}, answerTimeout)
+	defer fakeCaller.Close()
+	answer, err = fakeCaller.Ask(trialID, "WRITE trial 1", answerTimeout)
 	if err != nil {
 		return proto.InDoubt
 	}
