fakeup, platform: the next late answer can be received; callers' answers have no state

Cause: branch answers reads past second answers by DatabaseConn.Receive, which the fake would have to answer from the same unread answers. Change: Receive waits for the next unread answer until the last request's deadline. Result: go test ./engine ./dbpool pass; TestPromisesWhereDatabasesStutter fails as before.

--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -305,6 +305,8 @@
 	committed posn.Position
 	// unread has the answers that the VM has not read, in the order of their arrival.
 	unread []arrival
+	// deadline is that of the last request.
+	deadline time.Time
 	// random draws the answers that are given twice; nil before the first.
 	random *rand.Rand
 }
--- a/fakeup/stutter.go
+++ b/fakeup/stutter.go
@@ -65,10 +65,29 @@
 	conn.upstream.mu.Lock()
 	defer conn.upstream.mu.Unlock()
 	now := time.Now()
+	conn.deadline = now.Add(timeout)
 	conn.arrive(answer, now)
 	if delay > 0 {
 		conn.arrive(answer, now.Add(delay))
 	}
+	return conn.receive()
+}
+
+// Receive returns the next answer to one of the requests so far, which may be late. It waits
+// for it at most for the timeout of the last request.
+func (conn *conn) Receive() (proto.Answer, error) {
+	conn.upstream.mu.Lock()
+	defer conn.upstream.mu.Unlock()
+	return conn.receive()
+}
+
+// receive is Receive for callers that hold mu.
+func (conn *conn) receive() (proto.Answer, error) {
+	if len(conn.unread) == 0 || conn.unread[0].at.After(conn.deadline) {
+		conn.upstream.sleep(time.Until(conn.deadline))
+		return proto.Answer{}, proto.ErrLost
+	}
+	conn.upstream.sleep(time.Until(conn.unread[0].at))
 	first := conn.unread[0].answer
 	conn.unread = conn.unread[1:]
 	return first, nil
