--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -319,12 +319,6 @@
 	return !conn.isClosed && !conn.database.IsDown && !conn.hasUnread()
 }
 
-// Receive returns proto.ErrLost: no request has more than one answer.
-func (conn *conn) Receive() (proto.Answer, error) { return proto.Answer{}, proto.ErrLost }
-
-// HasUnread reports false: the fake's answers are not sent ahead of their requests.
-func (conn *conn) HasUnread() bool { return false }
-
 // Close ends the connection.
 func (conn *conn) Close() {
 	conn.upstream.mu.Lock()
