--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -423,8 +423,12 @@
 		if !ok {
 			return proto.Answer{Code: proto.UnknownName}
 		}
-		prepared := Definition(definition)
-		return conn.runStatement(Run{ID: request.ID, Text: prepared + " " + request.Arguments, Prepared: prepared}, request.MinPosition)
+		run := Run{ID: request.ID, Prepared: Definition(definition)}
+		run.Text = run.Prepared
+		if request.HasArguments || request.Arguments != "" {
+			run.Text += " " + request.Arguments
+		}
+		return conn.runStatement(run, request.MinPosition)
 	default:
 		return conn.runControl(request)
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -181,7 +181,8 @@
 		}
 	case 2:
 		if session.prepared != "" {
-			session.execute(session.odd("1a"), 0, time.Now())
+			arguments := []string{"", " ", " " + session.odd("1a"), " " + session.odd("1a")}
+			session.execute(arguments[session.random.IntN(len(arguments))], time.Now())
 		}
 	case 3, 4, 5:
 		session.runTransaction(ctx)
@@ -205,10 +206,11 @@
 	return session.runStatement(audit.Op{Kind: audit.Read, Text: text}, text, tx, began)
 }
 
-// execute executes the prepared statement.
-func (session *session) execute(arguments string, tx int, began time.Time) bool {
-	op := audit.Op{Kind: audit.Read, Text: session.prepared + " " + arguments, Prepared: session.prepared}
-	return session.runStatement(op, "EXECUTE s1 "+arguments, tx, began)
+// execute executes the prepared statement with arguments, which follow a blank unless there
+// are none.
+func (session *session) execute(arguments string, began time.Time) bool {
+	op := audit.Op{Kind: audit.Read, Text: session.prepared + arguments, Prepared: session.prepared}
+	return session.runStatement(op, "EXECUTE s1"+arguments, 0, began)
 }
 
 // runWrite writes a value that no other request writes. The transaction tx is zero for
--- a/vmrun/promises_test.go
+++ b/vmrun/promises_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,8 +21,10 @@
 // outside of a transaction, an execution of a name that isn't prepared.
 type request struct {
 	keyword, name, text string
-	writes              bool
-	pause               time.Duration
+	// arguments follow the name of an execution, behind a blank; empty for none.
+	arguments string
+	writes    bool
+	pause     time.Duration
 }
 
 // drawOdd draws a text with odd bytes at its ends.
@@ -31,12 +34,14 @@
 }
 
 func drawRequest(t *rapid.T) request {
+	text := drawOdd(t, "text")
 	return request{
 		keyword: rapid.SampledFrom([]string{
 			"SET", "PREPARE", "EXECUTE", "EXECUTE", "READ", "READ", "WRITE", "BEGIN", "BEGIN", "COMMIT", "ROLLBACK", "CLOSE",
 		}).Draw(t, "keyword"),
-		name: rapid.SampledFrom([]string{"a", "b\r"}).Draw(t, "name"), text: drawOdd(t, "text"), writes: rapid.Bool().Draw(t, "writes"),
-		pause: time.Duration(rapid.IntRange(0, 12).Draw(t, "pause")) * time.Millisecond,
+		name: rapid.SampledFrom([]string{"a", "b\r"}).Draw(t, "name"), text: text, writes: rapid.Bool().Draw(t, "writes"),
+		arguments: rapid.SampledFrom([]string{"", " ", " " + text}).Draw(t, "arguments"),
+		pause:     time.Duration(rapid.IntRange(0, 12).Draw(t, "pause")) * time.Millisecond,
 	}
 }
 
@@ -112,8 +117,9 @@
 		}
 	case "EXECUTE":
 		if prepared, ok := scripted.prepared[request.name]; ok {
-			statement := proto.Execute{Name: request.name, Arguments: request.text}
-			return scripted.call(kindOf(prepared), statement, "EXECUTE "+request.name+" "+request.text, prepared+" "+request.text, prepared) || scripted.rollBack()
+			arguments, hasArguments := strings.CutPrefix(request.arguments, " ")
+			statement := proto.Execute{Name: request.name, Arguments: arguments, HasArguments: hasArguments}
+			return scripted.call(kindOf(prepared), statement, "EXECUTE "+request.name+request.arguments, prepared+request.arguments, prepared) || scripted.rollBack()
 		}
 	case "READ":
 		return scripted.call(audit.Read, proto.Read{}, text, text, "") || scripted.rollBack()
@@ -221,7 +227,7 @@
 			checkRapid(t, 5, 40, func(rt *rapid.T) {
 				stutter := fakeup.Stutter{
 					Share: rapid.SampledFrom(test.shares).Draw(rt, "share"), Seed: rapid.Uint64().Draw(rt, "seed"),
-					MinDelay: time.Millisecond, MaxDelay: 20 * time.Millisecond,
+					MinDelay: time.Millisecond, MaxDelay: rapid.SampledFrom([]time.Duration{20 * time.Millisecond, 300 * time.Millisecond}).Draw(rt, "delay"),
 				}
 				scripts := rapid.SliceOfN(rapid.SliceOfN(rapid.Custom(drawRequest), 1, 30), 1, 3).Draw(rt, "scripts")
 				history := playScripts(t, test.forwards, stutter, scripts)
