dbpool, match: only the first error on a connection is believed

A write ran twice, and a COMMIT that had run was answered ABORTED, where two second answers were under way at once: that to an earlier error, taken for the answer to the write or COMMIT, and that to a SET, taken for the answer to the barrier behind it (TWICE, REFUSED; found by the review). However many barriers follow an error, answers of their kind that the connection gave before may be repeated as well.

An error can't be a repeated one if the connection has given none before. So a connection that has given an error is closed when its use ends, and a further error within the use, in a transaction, is a lost answer. A COMMIT that is refused as busy is not repeated, since a second refusal would leave it in doubt. Barriers behind errors, their counting and the limit of 32 are gone.

TestErrorsAreConfirmed and TestConnWithManyErrorsIsReplaced checked the barriers behind errors; TestOnlyFirstErrorIsBelieved replaces them with the stricter rule.

--- a/dbpool/ask.go
+++ b/dbpool/ask.go
@@ -11,9 +11,6 @@
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
-// barrierTimeout limits the wait for the answers to barriers.
-const barrierTimeout = 500 * time.Millisecond
-
 // Reasons besides those of package match why what was received is not a request's answer.
 const (
 	// reasonInvalid means that it is not an answer.
@@ -58,9 +55,6 @@
 	if err := conn.check(request, answer); err != nil {
 		return proto.Answer{}, err
 	}
-	if count := conn.stream.Barriers(); count > 0 {
-		return conn.confirm(request, answer, count, timeout)
-	}
 	return answer, nil
 }
 
@@ -105,53 +99,12 @@
 			return nil, err
 		}
 	}
-	count := conn.stream.Barriers()
-	if err := conn.checkBarriers(requests[last], sent[len(requests):], answers[len(requests):]); err != nil {
-		return nil, err
-	}
-	answers = answers[:len(requests)]
-	if count > 0 {
-		if answers[last], err = conn.confirm(requests[last], answers[last], count, timeout); err != nil {
-			return nil, err
+	for i, answer := range answers[len(requests):] {
+		if answer.Code != proto.OK || conn.stream.Check(sent[len(requests)+i], answer) != "" {
+			return nil, conn.refuse(requests[last], match.NoBarrier)
 		}
 	}
-	return answers, nil
-}
-
-// confirm sends barriers after an error and returns it if they are answered in their kind. If
-// it was not the request's answer, that comes instead. The state is that after the barriers:
-// in a failed transaction the only request without effect is the rollback.
-func (conn *Conn) confirm(request proto.Request, answer proto.Answer, count int, timeout time.Duration) (proto.Answer, error) {
-	barriers := make([]proto.Request, count)
-	for i := range barriers {
-		barriers[i] = conn.barrier()
-	}
-	if answer.State == proto.Broken {
-		barriers[0] = proto.AbortTransaction{}
-	}
-	answers, err := conn.DatabaseConn.AskAll(barriers, min(timeout, barrierTimeout))
-	if err != nil {
-		return proto.Answer{}, conn.lose(request, err)
-	}
-	if err := conn.checkBarriers(request, barriers, answers); err != nil {
-		return proto.Answer{}, err
-	}
-	answer.State = answers[count-1].State
-	return answer, nil
-}
-
-// checkBarriers returns an error if the barriers that were sent after a request are not answered
-// in their kind.
-func (conn *Conn) checkBarriers(request proto.Request, barriers []proto.Request, answers []proto.Answer) error {
-	for i, answer := range answers {
-		if answer.Code != proto.OK || conn.stream.Check(barriers[i], answer) != "" {
-			return conn.refuse(request, match.NoBarrier)
-		}
-	}
-	if len(barriers) > 0 {
-		conn.stream.Confirm(request)
-	}
-	return nil
+	return answers[:len(requests)], nil
 }
 
 // barrier returns a request that changes nothing: it sets a value to what it is, or prepares a
--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -165,91 +165,46 @@
 	failed   = proto.Answer{Code: proto.ReadOnly, State: proto.Broken}
 )
 
-// An error is followed by barriers only if there was an error before, or a setting. They have no
-// effect, and the state is that after them.
-func TestErrorsAreConfirmed(t *testing.T) {
-	statement, commit, start := proto.Forward{ID: "1", Text: "READ x"}, proto.Forward{ID: "2", Text: "COMMIT", IsCommit: true}, proto.Start{ID: "3"}
-	set, value, rollback := proto.SetValue{Name: "a", Value: "1"}, map[string]string{"b": "2"}, proto.AbortTransaction{}
-	setB, define := proto.SetValue{Name: "b", Value: "2"}, proto.Define{Name: "s1", Definition: proto.Definition{Text: "q"}}
+// REFUSED, TWICE: an error that could be the second answer to an earlier request was taken for the
+// answer to a write or COMMIT. Only the first error on a connection is believed, and the connection
+// is closed when its use ends.
+func TestOnlyFirstErrorIsBelieved(t *testing.T) {
+	statement, commit, start := proto.Forward{ID: "1", Text: "WRITE x"}, proto.Forward{ID: "2", Text: "COMMIT", IsCommit: true}, proto.Start{ID: "3"}
 	for name, test := range map[string]struct {
-		values   map[string]string
 		requests []proto.Request
 		answers  []proto.Answer
-		sent     []proto.Request
-		state    proto.State
+		isLost   bool
 	}{
-		"first error": {
-			requests: []proto.Request{statement}, answers: []proto.Answer{busy}, sent: []proto.Request{statement},
-		},
-		"error after a setting": {
-			requests: []proto.Request{set, statement}, answers: []proto.Answer{{}, busy, {}, {}}, sent: []proto.Request{set, statement, define, define},
-		},
-		"second error": {
-			requests: []proto.Request{statement, statement}, answers: []proto.Answer{busy, busy, {}}, sent: []proto.Request{statement, statement, define},
-		},
-		"third error": {
-			values:   value,
-			requests: []proto.Request{statement, statement, statement}, answers: []proto.Answer{busy, busy, {}, busy, {}, {}},
-			sent: []proto.Request{statement, statement, setB, statement, setB, setB},
-		},
-		"success after an error": {
-			requests: []proto.Request{statement, statement}, answers: []proto.Answer{busy, proven("1", proto.Idle)}, sent: []proto.Request{statement, statement},
-		},
-		"in a transaction": {
-			values:   value,
-			requests: []proto.Request{start, statement, statement}, answers: []proto.Answer{open, busyOpen, busyOpen, open},
-			sent: []proto.Request{start, statement, statement, setB}, state: proto.Open,
-		},
-		"statement that fails the transaction": {
-			requests: []proto.Request{start, statement, statement}, answers: []proto.Answer{open, busyOpen, failed},
-			sent: []proto.Request{start, statement, statement}, state: proto.Broken,
-		},
-		"commit that fails the transaction": {
-			values:   value,
-			requests: []proto.Request{start, statement, commit}, answers: []proto.Answer{open, busyOpen, failed, {}},
-			sent: []proto.Request{start, statement, commit, rollback},
-		},
+		"error":                   {[]proto.Request{statement}, []proto.Answer{busy}, false},
+		"error after a setting":   {[]proto.Request{proto.SetValue{}, statement}, []proto.Answer{{}, busy}, false},
+		"two errors":              {[]proto.Request{statement, statement}, []proto.Answer{busy, busy}, true},
+		"success between errors":  {[]proto.Request{statement, statement, statement}, []proto.Answer{busy, proven("1", proto.Idle), busy}, true},
+		"commit after an error":   {[]proto.Request{start, statement, commit}, []proto.Answer{open, busyOpen, proven("1", proto.Idle)}, false},
+		"refused commit":          {[]proto.Request{start, statement, commit}, []proto.Answer{open, proven("1", proto.Open), failed}, false},
+		"commit refused in doubt": {[]proto.Request{start, statement, commit}, []proto.Answer{open, busyOpen, failed}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			script := &script{answers: test.answers}
 			pool, _ := newScriptPool(script, io.Discard)
 			conn := mustGet(c, pool)
-			for name, value := range test.values {
-				conn.Values[name] = value
-			}
-			conn.Prepared[proto.Definition{Text: "q"}] = conn.NewName()
-			var answer proto.Answer
-			for _, request := range test.requests {
-				var err error
+			var err error
+			for i, request := range test.requests {
+				var answer proto.Answer
 				answer, err = conn.Ask(request, time.Second)
-				c.Assert(err, qt.IsNil)
+				if i < len(test.requests)-1 || !test.isLost {
+					c.Assert(err, qt.IsNil)
+					c.Check(answer.Code, qt.Equals, test.answers[i].Code)
+				}
 			}
-			c.Check(script.requests, qt.DeepEquals, test.sent)
-			c.Check(answer.State, qt.Equals, test.state)
-			c.Check(conn.Prepared, qt.DeepEquals, map[proto.Definition]string{define.Definition: define.Name})
+			c.Check(errors.Is(err, proto.ErrLost), qt.Equals, test.isLost)
+			c.Check(script.requests, qt.DeepEquals, test.requests)
+			conn.Put()
+			c.Check(script.isClosed, qt.IsTrue)
 		})
 	}
 }
 
-// A connection that has given many errors is closed, since each further one takes more barriers.
-func TestConnWithManyErrorsIsReplaced(t *testing.T) {
-	c := qt.New(t)
-	script := &script{}
-	pool, _ := newScriptPool(script, io.Discard)
-	for count := 1; ; count++ {
-		script.answers = append([]proto.Answer{busy}, make([]proto.Answer, 64)...)
-		conn := mustGet(c, pool)
-		_, err := conn.Ask(proto.Forward{ID: "1", Text: "READ x"}, time.Second)
-		c.Assert(err, qt.IsNil)
-		conn.Put()
-		if script.isClosed {
-			c.Check(count, qt.Equals, 33)
-			return
-		}
-	}
-}
-
 // A request for a report is sent with a barrier if there was a report before; that is not taken
 // for the answer again.
 func TestReportsAreConfirmed(t *testing.T) {
--- a/dbpool/dbpool.go
+++ b/dbpool/dbpool.go
@@ -284,11 +284,11 @@
 }
 
 // Put returns a connection to the pool. Connections above the limit, those in a transaction,
-// and those that have lost an answer or given many errors, are closed.
+// and those that have lost an answer or given an error, are closed.
 func (pool *Pool) Put(conn *Conn) {
 	now := pool.Clock.Now()
 	pool.mu.Lock()
-	isUsable := !conn.isLost && !conn.stream.IsExhausted() && conn.stream.State() == proto.Idle
+	isUsable := !conn.isLost && !conn.stream.HasErred() && conn.stream.State() == proto.Idle
 	if !isUsable || pool.closed || pool.open > max(pool.Share(), 1) {
 		pool.mu.Unlock()
 		pool.Discard(conn)
--- a/dbpool/stutter_test.go
+++ b/dbpool/stutter_test.go
@@ -27,13 +27,16 @@
 }
 
 // stutter is a connection to a database that answers requests twice. At most one second answer
-// is under way at a time, unless delay is set. It answers as the databases' protocol says.
+// is under way at a time, unless delay or overlaps is set. It answers as the databases' protocol
+// says.
 type stutter struct {
 	t *rapid.T
 	// refusesBegin is set if BEGIN may be refused.
 	refusesBegin bool
 	// delay is the number of requests after which all second answers arrive; 0 is none.
-	delay        int
+	delay int
+	// overlaps is set if several second answers, each with its own delay, may be under way.
+	overlaps     bool
 	hasNoReports bool
 	state        proto.State
 	proofs       int
@@ -63,7 +66,7 @@
 	switch {
 	case stutter.delay > 0:
 		stutter.repeat(own, stutter.delay)
-	case stutter.delay == 0 && stutter.lastLate <= stutter.requests && rapid.IntRange(0, 2).Draw(stutter.t, "repeat") == 0:
+	case (stutter.overlaps || stutter.lastLate <= stutter.requests) && rapid.IntRange(0, 2).Draw(stutter.t, "repeat") == 0:
 		stutter.repeat(own, rapid.IntRange(1, 4).Draw(stutter.t, "delay"))
 	}
 	next := stutter.queue[0]
@@ -171,6 +174,12 @@
 	rapid.Check(t, func(t *rapid.T) { (&stutter{t: t, refusesBegin: true}).check() })
 }
 
+// REFUSED, TWICE: where several second answers are under way, those to an error and to a SET behind
+// it were taken for the answers to a statement and to its barrier.
+func TestNoOverlappingSecondAnswersAreTaken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { (&stutter{t: t, overlaps: true, hasNoReports: true}).check() })
+}
+
 // REFUSED: where a database answers all requests twice for a while, the second answers to an
 // error and to the barriers after it were taken for those to the next statement.
 func TestNoSecondAnswersOfBurstAreTaken(t *testing.T) {
--- a/engine/stutter_test.go
+++ b/engine/stutter_test.go
@@ -75,9 +75,9 @@
 	return answer, nil
 }
 
-func (conn *stutterConn) HasUnread() bool { return conn.isUnread }
+func (conn *stutterConn) HasUnread() bool { return conn.isUnread || len(conn.queue) > 0 }
 
-func (conn *stutterConn) IsAlive() bool { return !conn.isUnread && conn.DatabaseConn.IsAlive() }
+func (conn *stutterConn) IsAlive() bool { return !conn.HasUnread() && conn.DatabaseConn.IsAlive() }
 
 func (conn *stutterConn) AskAll(requests []proto.Request, timeout time.Duration) ([]proto.Answer, error) {
 	var answers []proto.Answer
@@ -333,3 +333,34 @@
 		c.Check(runTexts(fixture.upstream.Runs()), qt.DeepEquals, []string{"a WRITE a 1"})
 	})
 }
+
+// TWICE: the second answers to an earlier error and to a SET were taken for those to a write and to
+// its barrier.
+func TestWriteWithTwoEarlierAnswers(t *testing.T) {
+	outcomes := map[int]outcome{1: {refusal: proto.Busy, repeatBefore: 5}, 3: {repeatBefore: 5}}
+	withStutter(t, outcomes, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		fixture.check(c, "WRITE a", caller.Ask(write, "WRITE a"))
+		caller.Ask(proto.Assign{Name: "zone", Value: "1"}, "SET zone 1")
+		for _, text := range []string{"WRITE b", "WRITE c"} {
+			fixture.check(c, text, caller.Ask(write, text))
+		}
+	})
+}
+
+// REFUSED: the second answers to an earlier error and to a SET were taken for those to a COMMIT and
+// to its barrier, and a COMMIT that had run was answered as aborted.
+func TestCommitWithTwoEarlierAnswers(t *testing.T) {
+	// 1 BEGIN, 2 and 3 WRITE a, 4 SET, 5 WRITE b, 6 COMMIT
+	outcomes := map[int]outcome{2: {refusal: proto.Busy, repeatBefore: 6}, 4: {repeatBefore: 6}}
+	withStutter(t, outcomes, func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+		caller.Ask(begin, "BEGIN")
+		fixture.check(c, "WRITE a", caller.Ask(write, "WRITE a"))
+		caller.Ask(proto.Assign{Name: "zone", Value: "1"}, "SET zone 1")
+		c.Assert(caller.Ask(write, "WRITE b").Code, qt.Equals, proto.OK)
+		answer := caller.Ask(commit, "COMMIT")
+		for _, run := range fixture.upstream.Runs() {
+			isCommitted := run.Text == "COMMIT" && !run.Committed.IsZero()
+			c.Check(isCommitted && answer.Code.DidNotRun(), qt.IsFalse, qt.Commentf("answered as %v", answer.Code))
+		}
+	})
+}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -141,15 +141,19 @@
 	}
 }
 
-// sendPinned sends a request on a transaction's connection. It retries the request while
-// the database answers Busy with the transaction still open, until dispatchRemaining is
-// used up; the last answer is returned.
+// sendPinned sends a request on a transaction's connection. If the database answers Busy with the
+// transaction still open, and dispatchRemaining is not used up, it retries the request: a second
+// Busy could be the first one again, and counts as a lost answer. A commit is not retried, since it
+// would be in doubt then.
 func (execution *execution) sendPinned(conn *dbpool.Conn, request proto.Request) (proto.Answer, error) {
 	conn.SetActive()
 	defer conn.SetIdle()
+	forward, _ := request.(proto.Forward)
+	isCommit := forward.IsCommit
 	for {
 		answer, err := execution.send(conn, request, max(execution.remaining(), minAttemptTimeout))
-		if err != nil || answer.Code != proto.Busy || answer.State != proto.Open || execution.dispatchRemaining() <= 0 {
+		isRetried := !isCommit && answer.Code == proto.Busy && answer.State == proto.Open && execution.dispatchRemaining() > 0
+		if err != nil || !isRetried {
 			return answer, err
 		}
 		execution.session.engine.Stats.Retries.Add("busy", 1)
--- a/match/match.go
+++ b/match/match.go
@@ -6,10 +6,10 @@
 // Rules (numbers as in docs/DESIGN.md; each package states its part):
 //
 //  14. What a request's answer shows is its kind, its proof and its state. A statement's
-//     success has a proof that the connection has not received before. Errors are alike, and
-//     so are reports: they are confirmed by barriers, requests without effect whose answers,
-//     plain successes, follow only if theirs came before. A statement's success is read on for
-//     past those that must be earlier answers.
+//     success has a proof that the connection has not received before, and is read on for past
+//     answers that must be earlier ones. Errors are alike: only the first on a connection is
+//     believed. So are reports, and the answers to BEGIN: they are confirmed by barriers,
+//     requests without effect whose answers, plain successes, follow only if theirs came before.
 package match
 
 import (
@@ -23,9 +23,6 @@
 // maxProofs is the number of a connection's last proofs that are compared with a new one.
 const maxProofs = 128
 
-// maxBarriers is the number of barriers above which a connection should be replaced.
-const maxBarriers = 32
-
 // Reason is why an answer can't belong to a request.
 type Reason string
 
@@ -41,6 +38,8 @@
 	UnexpectedRows Reason = "rows"
 	// WrongState means that the transaction state can't follow from the request.
 	WrongState Reason = "state"
+	// ErrorRepeated means that an earlier answer on the connection was an error too.
+	ErrorRepeated Reason = "errorRepeated"
 	// NoBarrier means that an answer was not followed by the answer to a barrier.
 	NoBarrier Reason = "barrier"
 )
@@ -55,25 +54,15 @@
 	state  proto.State
 	// hasErred is set after an error, hasBegun after a BEGIN, hasReported after a report.
 	hasErred, hasBegun, hasReported bool
-	// plain counts the plain successes since the last answer of another kind, without those of
-	// barriers.
-	plain int
-	// isAfterError is set if the last answer of another kind was an error, which run plain
-	// successes have followed; longest is the largest such number.
-	isAfterError bool
-	run, longest int
-	// barriers is the number that the last answer needs.
-	barriers int
 }
 
 // Check records the next answer on the connection and returns why it can't belong to the
 // request; empty if it may.
 func (stream *Stream) Check(request proto.Request, answer proto.Answer) Reason {
 	previous := stream.state
-	stream.state, stream.barriers = answer.State, 0
+	stream.state = answer.State
 	if answer.Code != proto.OK {
-		stream.addError(request, answer)
-		return checkError(request, previous, answer.State)
+		return stream.checkError(request, previous, answer.State)
 	}
 	switch request := request.(type) {
 	case proto.Forward:
@@ -84,7 +73,8 @@
 	case proto.ForwardPrepared:
 		return stream.checkStatement(answer, previous)
 	case proto.Start:
-		return stream.checkBegin(answer)
+		stream.hasBegun = true
+		return stream.checkPlain(answer, proto.Open)
 	case proto.AbortTransaction:
 		return stream.checkPlain(answer, proto.Idle)
 	case proto.GetReport, proto.Seal, proto.Unseal, proto.Demote:
@@ -119,7 +109,6 @@
 
 // checkStatement checks the success of a statement after which the state is want.
 func (stream *Stream) checkStatement(answer proto.Answer, want proto.State) Reason {
-	stream.plain, stream.isAfterError = 0, false
 	switch {
 	case answer.Proof == "":
 		return NoProof
@@ -142,24 +131,12 @@
 	case answer.State != want || want == proto.Broken:
 		return WrongState
 	}
-	stream.addPlain()
 	return ""
 }
 
-// checkBegin checks the success of BEGIN. It is told from other plain successes by its state,
-// but not from that of an earlier BEGIN.
-func (stream *Stream) checkBegin(answer proto.Answer) Reason {
-	reason := stream.checkPlain(answer, proto.Open)
-	if !stream.hasBegun {
-		stream.plain, stream.isAfterError = 0, false
-	}
-	stream.hasBegun = true
-	return reason
-}
-
 // checkReport checks the success of a request that returns the database's report.
 func (stream *Stream) checkReport(answer proto.Answer, want proto.State) Reason {
-	stream.plain, stream.isAfterError, stream.hasReported = 0, false, true
+	stream.hasReported = true
 	switch {
 	case answer.Proof != "":
 		stream.addProof(answer.Proof)
@@ -172,9 +149,13 @@
 	return ""
 }
 
-// checkError checks the state of an error. An error leaves a transaction open or failed; only
-// that of a commit or rollback may end it.
-func checkError(request proto.Request, previous, state proto.State) Reason {
+// checkError checks an error. It leaves a transaction open or failed; only that of a commit or
+// rollback may end it.
+func (stream *Stream) checkError(request proto.Request, previous, state proto.State) Reason {
+	if stream.hasErred {
+		return ErrorRepeated
+	}
+	stream.hasErred = true
 	isValid := state == previous
 	switch {
 	case endsTransaction(request):
@@ -210,55 +191,12 @@
 	return false
 }
 
-// Barriers returns how many barriers have to be answered before the last answer is known to
-// be its request's. An error needs them if an earlier error may have been repeated, or if the
-// answers may be shifted since a plain success was repeated and the error is that of a request
-// before. They are more than the plain successes that followed an earlier error, so that a
-// repetition of all of them does not do, and those that may not have been received yet.
-func (stream *Stream) Barriers() int { return stream.barriers }
-
-// Confirm records that the barriers after a request were answered in their kind. One after a
-// BEGIN that opened the transaction counts as a plain success: if that was a second answer,
-// the barrier's has not been received yet.
-func (stream *Stream) Confirm(request proto.Request) {
-	if _, isStart := request.(proto.Start); !isStart || stream.state != proto.Open {
-		stream.plain = 0
-	}
-}
-
 // State returns the transaction state after the last answer.
 func (stream *Stream) State() proto.State { return stream.state }
 
-// IsExhausted reports whether a further error on the connection would need many barriers.
-func (stream *Stream) IsExhausted() bool { return stream.longest >= maxBarriers }
-
-// addError counts an error. One that fails a transaction needs no barrier, unless it is that
-// of the commit, since the transaction is rolled back in any case.
-func (stream *Stream) addError(request proto.Request, answer proto.Answer) {
-	isDoubtful := stream.hasErred || stream.plain > 0
-	if isDoubtful && isConfirmed(request) && (answer.State != proto.Broken || endsTransaction(request)) {
-		stream.barriers = stream.longest + stream.plain + 1
-	}
-	stream.hasErred, stream.isAfterError, stream.plain, stream.run = true, true, 0, 0
-}
-
-// isConfirmed reports whether an error of the request has consequences. After an error of
-// another one the connection is closed.
-func isConfirmed(request proto.Request) bool {
-	switch request.(type) {
-	case proto.AbortTransaction, proto.SetValue, proto.Define, proto.Reset:
-		return false
-	}
-	return true
-}
-
-func (stream *Stream) addPlain() {
-	stream.plain++
-	if stream.isAfterError {
-		stream.run++
-		stream.longest = max(stream.longest, stream.run)
-	}
-}
+// HasErred reports whether the connection has given an error, so that a further one may be the
+// second answer to its request.
+func (stream *Stream) HasErred() bool { return stream.hasErred }
 
 // addProof adds a proof and reports whether it is new.
 func (stream *Stream) addProof(proof string) bool {
--- a/match/match_test.go
+++ b/match/match_test.go
@@ -59,6 +59,7 @@
 		"error that opens":                {[]exchange{{begin, proto.Answer{Code: proto.Busy, State: proto.Open}}}, match.WrongState},
 		"error that ends a transaction":   {[]exchange{open, {read, failed}}, match.WrongState},
 		"error that fails a transaction":  {[]exchange{open, {read, proto.Answer{Code: proto.ReadOnly, State: proto.Broken}}}, ""},
+		"second error":                    {[]exchange{{read, failed}, {read, proven("a", proto.Idle)}, {read, failed}}, match.ErrorRepeated},
 		"refused commit":                  {[]exchange{open, {commit, failed}}, ""},
 		"success in a failed transaction": {
 			[]exchange{open, {read, proto.Answer{Code: proto.ReadOnly, State: proto.Broken}}, {read, proven("a", proto.Broken)}},
@@ -148,7 +149,7 @@
 // isProven reports whether an answer is the success of a statement.
 func isProven(answer proto.Answer) bool { return answer.Code == proto.OK && answer.Proof != "" }
 
-// Answers in order, errors among them, match their requests.
+// Answers in order match their requests, errors among them up to the first on the connection.
 func TestOwnAnswersMatch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		database := database{hasErrors: true}
@@ -156,8 +157,15 @@
 		for range rapid.IntRange(1, 40).Draw(t, "length") {
 			request := requests[database.state].Draw(t, "request")
 			answer := database.answer(t, request)
-			if reason := stream.Check(request, answer); reason != "" {
-				t.Fatalf("answer %+v to %T is refused: %s", answer, request, reason)
+			want := match.Reason("")
+			if answer.Code != proto.OK && stream.HasErred() {
+				want = match.ErrorRepeated
+			}
+			if reason := stream.Check(request, answer); reason != want {
+				t.Fatalf("answer %+v to %T: %q, want %q", answer, request, reason, want)
+			}
+			if want != "" {
+				return
 			}
 		}
 	})
