match: an answer with an earlier position than one before is lost

A BEGIN that had been refused seemed to have opened its transaction, and a report of before was taken for the present one, where second answers to an earlier BEGIN or report and to its barrier came together (PINNED, REFUSED, ONE; found by the review): they look like the pair that is waited for.

Each answer has the position of the end of the log, which doesn't move back on a connection. An answer with an earlier one is that to an earlier request, and counts as lost.

--- a/dbpool/stutter_test.go
+++ b/dbpool/stutter_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bramleydoor/bramleydoor/dbset"
+	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
@@ -38,9 +39,11 @@
 	// overlaps is set if several second answers, each with its own delay, may be under way.
 	overlaps     bool
 	hasNoReports bool
-	state        proto.State
-	proofs       int
-	requests     int
+	// isBusy is set if the log grows with each request.
+	isBusy   bool
+	state    proto.State
+	proofs   int
+	requests int
 	// late has the second answers by the request before whose answer they arrive, lastLate the
 	// last of these requests.
 	late     map[int][]arrival
@@ -134,6 +137,9 @@
 		answer.Rows = []string{strconv.Itoa(stutter.requests)}
 	}
 	answer.State = stutter.state
+	if stutter.isBusy {
+		answer.Position = posn.Position{Term: 1, LSN: uint64(stutter.requests)}
+	}
 	return answer
 }
 
@@ -180,6 +186,13 @@
 	rapid.Check(t, func(t *rapid.T) { (&stutter{t: t, overlaps: true, hasNoReports: true}).check() })
 }
 
+// PINNED, REFUSED, ONE: where several second answers are under way, those to an earlier BEGIN or report
+// and to its barrier were taken for those to the next one. In a group that writes they have earlier
+// positions.
+func TestNoOverlappingSecondAnswersInBusyGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { (&stutter{t: t, overlaps: true, refusesBegin: true, isBusy: true}).check() })
+}
+
 // REFUSED: where a database answers all requests twice for a while, the second answers to an
 // error and to the barriers after it were taken for those to the next statement.
 func TestNoSecondAnswersOfBurstAreTaken(t *testing.T) {
--- a/match/match.go
+++ b/match/match.go
@@ -7,7 +7,7 @@
 //
 //  14. What a request's answer shows is its kind, its proof and its state. A statement's
 //     success has a proof that the connection has not received before, and is read on for past
-//     answers that must be earlier ones. Errors are alike: only the first on a connection is
+//     answers that must be earlier ones. The log's end doesn't move back on a connection. Errors are alike: only the first on a connection is
 //     believed. So are reports, and the answers to BEGIN: they are confirmed by barriers,
 //     requests without effect whose answers, plain successes, follow only if theirs came before.
 package match
@@ -17,6 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
@@ -38,6 +39,8 @@
 	UnexpectedRows Reason = "rows"
 	// WrongState means that the transaction state can't follow from the request.
 	WrongState Reason = "state"
+	// EarlierPosition means that the end of the log is before that in an earlier answer.
+	EarlierPosition Reason = "position"
 	// ErrorRepeated means that an earlier answer on the connection was an error too.
 	ErrorRepeated Reason = "errorRepeated"
 	// NoBarrier means that an answer was not followed by the answer to a barrier.
@@ -52,6 +55,8 @@
 	proofs []uint64
 	oldest int
 	state  proto.State
+	// position is the highest in an answer.
+	position posn.Position
 	// hasErred is set after an error, hasBegun after a BEGIN, hasReported after a report.
 	hasErred, hasBegun, hasReported bool
 }
@@ -59,8 +64,11 @@
 // Check records the next answer on the connection and returns why it can't belong to the
 // request; empty if it may.
 func (stream *Stream) Check(request proto.Request, answer proto.Answer) Reason {
+	if !answer.Position.IsZero() && !answer.Position.AtLeast(stream.position) {
+		return EarlierPosition
+	}
 	previous := stream.state
-	stream.state = answer.State
+	stream.state, stream.position = answer.State, posn.Max(stream.position, answer.Position)
 	if answer.Code != proto.OK {
 		return stream.checkError(request, previous, answer.State)
 	}
--- a/match/match_test.go
+++ b/match/match_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bramleydoor/bramleydoor/match"
+	"github.com/bramleydoor/bramleydoor/posn"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
 
@@ -31,6 +32,12 @@
 	return proto.Answer{Rows: []string{"x"}, Proof: proof, State: state}
 }
 
+// at returns an answer at a position.
+func at(lsn uint64, answer proto.Answer) proto.Answer {
+	answer.Position = posn.Position{Term: 1, LSN: lsn}
+	return answer
+}
+
 // The last answer's mismatch, after answers that match.
 func TestCheck(t *testing.T) {
 	type exchange struct {
@@ -60,6 +67,8 @@
 		"error that ends a transaction":   {[]exchange{open, {read, failed}}, match.WrongState},
 		"error that fails a transaction":  {[]exchange{open, {read, proto.Answer{Code: proto.ReadOnly, State: proto.Broken}}}, ""},
 		"second error":                    {[]exchange{{read, failed}, {read, proven("a", proto.Idle)}, {read, failed}}, match.ErrorRepeated},
+		"earlier position":                {[]exchange{{begin, at(2, opened)}, {proto.SetValue{}, at(1, opened)}}, match.EarlierPosition},
+		"no position":                     {[]exchange{{begin, at(2, opened)}, {proto.SetValue{}, opened}}, ""},
 		"refused commit":                  {[]exchange{open, {commit, failed}}, ""},
 		"success in a failed transaction": {
 			[]exchange{open, {read, proto.Answer{Code: proto.ReadOnly, State: proto.Broken}}, {read, proven("a", proto.Broken)}},
