match: an earlier answer is skipped only if it is the same as before

A connection remembers the rows with each proof, by their hashes. An answer with a repeated proof and other rows, or without a proof but with rows, is lost.

--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -158,6 +158,30 @@
 	c.Check(stats.Counts(&counters.Answers), qt.DeepEquals, map[string]int64{"noProof": 1, "proofRepeated": 3, "errorAfterEarlier": 1})
 }
 
+// MIXED: a second answer whose messages came between those of the present one took its rows. It is
+// skipped only if it is the same as before.
+func TestInterleavedSecondAnswerIsLost(t *testing.T) {
+	first := proto.Answer{Rows: []string{"a"}, Proof: "1"}
+	for name, received := range map[string]proto.Answer{
+		"statement": {Rows: []string{"b", "a"}, Proof: "1"}, "setting": {Rows: []string{"b"}}, "statement without rows": {Rows: []string{"b"}, Proof: "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			script := &script{answers: []proto.Answer{{Proof: "0"}, first, received, {Proof: "2"}}}
+			pool, _ := newScriptPool(script, io.Discard)
+			conn := mustGet(c, pool)
+			read := proto.Forward{ID: "1", Text: "READ a"}
+			for range 2 {
+				_, err := conn.Ask(read, time.Second)
+				c.Assert(err, qt.IsNil)
+			}
+			_, err := conn.Ask(read, time.Second)
+			c.Check(errors.Is(err, proto.ErrLost), qt.IsTrue)
+			c.Check(conn.IsAlive(), qt.IsFalse)
+		})
+	}
+}
+
 var (
 	busy     = proto.Answer{Code: proto.Busy}
 	busyOpen = proto.Answer{Code: proto.Busy, State: proto.Open}
--- a/match/match.go
+++ b/match/match.go
@@ -13,8 +13,6 @@
 package match
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bramleydoor/bramleydoor/posn"
@@ -47,12 +45,15 @@
 	NoBarrier Reason = "barrier"
 )
 
+// seenProof has the hashes of a proof and of the rows that came with it.
+type seenProof struct{ proof, rows uint64 }
+
 // Stream is what the answers on one connection have shown so far. The zero value is a new
 // connection outside a transaction.
 type Stream struct {
-	// proofs has the hashes of the last proofs; oldest is the index of the next to replace
-	// once there are maxProofs.
-	proofs []uint64
+	// proofs has the last proofs; oldest is the index of the next to replace once there are
+	// maxProofs.
+	proofs []seenProof
 	oldest int
 	state  proto.State
 	// position is the highest in an answer.
@@ -92,18 +93,19 @@
 }
 
 // IsEarlier reports whether a success that was received for a statement must be the answer to an
-// earlier request, and why: it has no proof, or one that the connection has received before. Only
-// one statement at a time is unanswered, so that a new proof is its own.
+// earlier request, and why: it has neither a proof nor rows, or a proof that the connection has
+// received before, with the same rows. Other rows may be those of the statement, between which
+// the earlier answer has come. Only one statement at a time is unanswered, so that a new proof is
+// its own.
 func (stream *Stream) IsEarlier(request proto.Request, answer proto.Answer) (Reason, bool) {
 	switch {
 	case !isStatement(request) || answer.Code != proto.OK:
 		return "", false
 	case answer.Proof == "":
-		return NoProof, true
-	case slices.Contains(stream.proofs, xxhash.Sum64String(answer.Proof)):
-		return ProofRepeated, true
+		return NoProof, len(answer.Rows) == 0
 	}
-	return "", false
+	seen, ok := stream.find(xxhash.Sum64String(answer.Proof))
+	return ProofRepeated, ok && seen.rows == hashRows(answer.Rows)
 }
 
 // isStatement reports whether the success of a request has a proof.
@@ -120,7 +122,7 @@
 	switch {
 	case answer.Proof == "":
 		return NoProof
-	case !stream.addProof(answer.Proof):
+	case !stream.addProof(answer):
 		return ProofRepeated
 	case answer.State != want || want == proto.Broken:
 		return WrongState
@@ -132,7 +134,7 @@
 func (stream *Stream) checkPlain(answer proto.Answer, want proto.State) Reason {
 	switch {
 	case answer.Proof != "":
-		stream.addProof(answer.Proof)
+		stream.addProof(answer)
 		return UnexpectedProof
 	case len(answer.Rows) > 0:
 		return UnexpectedRows
@@ -147,7 +149,7 @@
 	stream.hasReported = true
 	switch {
 	case answer.Proof != "":
-		stream.addProof(answer.Proof)
+		stream.addProof(answer)
 		return UnexpectedProof
 	case len(answer.Rows) != 1:
 		return UnexpectedRows
@@ -206,17 +208,37 @@
 // second answer to its request.
 func (stream *Stream) HasErred() bool { return stream.hasErred }
 
-// addProof adds a proof and reports whether it is new.
-func (stream *Stream) addProof(proof string) bool {
-	hash := xxhash.Sum64String(proof)
-	if slices.Contains(stream.proofs, hash) {
+// find returns a proof that was received before.
+func (stream *Stream) find(proof uint64) (seenProof, bool) {
+	for _, seen := range stream.proofs {
+		if seen.proof == proof {
+			return seen, true
+		}
+	}
+	return seenProof{}, false
+}
+
+// addProof adds the proof of an answer and reports whether it is new.
+func (stream *Stream) addProof(answer proto.Answer) bool {
+	added := seenProof{xxhash.Sum64String(answer.Proof), hashRows(answer.Rows)}
+	if _, ok := stream.find(added.proof); ok {
 		return false
 	}
 	if len(stream.proofs) < maxProofs {
-		stream.proofs = append(stream.proofs, hash)
+		stream.proofs = append(stream.proofs, added)
 		return true
 	}
-	stream.proofs[stream.oldest] = hash
+	stream.proofs[stream.oldest] = added
 	stream.oldest = (stream.oldest + 1) % maxProofs
 	return true
 }
+
+func hashRows(rows []string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, row := range rows {
+		_, _ = digest.WriteString(row)
+		_, _ = digest.WriteString("\x00")
+	}
+	return digest.Sum64()
+}
