promo: a replica counts as sealed only if it says so

Cause: any report of a replica in answer to the order to seal counted, whatever it said: an earlier report that was repeated, or that of a database which knows a newer term and ignores the order. The same with the order to demote.

The report must name the term of the seal, or not lead any more. The order is repeated as before while a replica that may be needed has no seal. TestReplicaWithoutSealIsNotPromoted fails without the check: b, which ignores seals, is promoted.

--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -36,6 +36,8 @@
 	IsUnresponsive, IsDown bool
 	// UnreachableFrom is the set of VMs whose connections and requests time out.
 	UnreachableFrom map[string]bool
+	// IgnoresSeals makes a database answer requests to seal it without effect.
+	IgnoresSeals bool
 	// IsReplicationStopped makes a replica receive no further commits from the primary.
 	IsReplicationStopped bool
 	// Lag is the replication lag: the delay before a replica shows a commit.
@@ -440,7 +442,7 @@
 	database, upstream := conn.database, conn.upstream
 	switch request := request.(type) {
 	case proto.Seal:
-		if request.Term > database.term && !database.leads {
+		if request.Term > database.term && !database.leads && !database.IgnoresSeals {
 			database.sealedTerm = request.Term
 		}
 	case proto.Unseal:
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -170,7 +170,7 @@
 // catchUpTimeout until a replica has received all of its log.
 func (controller *Controller) demote(state dbset.State, term uint64) {
 	report, err := controller.sendControl(state.Primary, proto.Demote{Term: term})
-	if err == nil {
+	if err == nil && !report.Primary {
 		controller.awaitReceived(state, report.Received)
 	}
 }
@@ -261,7 +261,7 @@
 			return
 		}
 		report, err := controller.sendControl(member.ID, proto.Seal{Term: term})
-		if err != nil || report.Primary {
+		if err != nil || report.Primary || report.SealedTerm < term {
 			return
 		}
 		mu.Lock()
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// LOST, ONE: a replica that did not confirm its seal counted as sealed, and was promoted.
+func TestReplicaWithoutSealIsNotPromoted(t *testing.T) {
+	withFailover(t, 0, 3*time.Millisecond, func(c *qt.C, fleet *fleet) {
+		fleet.upstream.Do("b", func(database *fakeup.Database) { database.IgnoresSeals = true })
+		fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+		time.Sleep(time.Second)
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = true })
+		time.Sleep(5 * time.Second)
+		c.Assert(fleet.upstream.Terms(), qt.HasLen, 1)
+		c.Assert(fleet.upstream.Terms()[0].Primary, qt.Equals, "c")
+	})
+}
+
 // LOST: one replica receives nothing, and the primary crashes. The other replica is promoted,
 // and its commits then wait for the deaf one. The leader took it for failed and promoted that.
 func TestDeafReplicaIsNotPromoted(t *testing.T) {
