promo: a former primary is demoted once it is reachable

Cause, by the record: the order to demote the former primary is sent once, right after its successor's promotion, and did not reach it (notices26 was silent to the leader until after 38.8 s). It went on leading its term; its successor crashed at 41.9 s, the leader's process was started again at 42.0 s, found a primary and no newer term, and issued leases for it.

The leader demotes each database that reports to lead an earlier term, with each check. TestFormerPrimaryIsDemotedLater fails without it: the former primary still leads 4 s after it can be reached.

--- a/promo/promo.go
+++ b/promo/promo.go
@@ -229,6 +229,7 @@
 	}
 	if cause == NoCause {
 		controller.unsealAbandoned(state)
+		controller.demoteFormer(state)
 		return checkInterval
 	}
 	return controller.promoteOrLog(ctx, state, cause, "")
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -175,6 +175,22 @@
 	}
 }
 
+// demoteFormer makes replicas of databases that still report to lead an earlier term, since the
+// order after their successor's promotion did not reach them. A leader that starts while the
+// successor is down would take one for the primary.
+func (controller *Controller) demoteFormer(state dbset.State) {
+	for _, member := range state.Members {
+		if !member.Report.Primary || member.Report.Term >= state.Term || member.Failures > 0 {
+			continue
+		}
+		if _, err := controller.sendControl(member.ID, proto.Demote{Term: state.Term}); err != nil {
+			controller.Log.Write(event.PromotionFailed, event.Fields{
+				"group": controller.Group.Name, "slot": member.ID, "error": err.Error(),
+			})
+		}
+	}
+}
+
 // isReplicaCaughtUp reports whether a replica catches up with the primary, or the primary does
 // not answer any more. A primary that is demoted earlier leaves the group without one until a
 // replica has received all acknowledged commits.
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/fakeup"
 	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/proto"
@@ -70,6 +71,29 @@
 	}
 }
 
+// ONE: a former primary that was unreachable at the promotion of its successor went on leading its
+// term for as long as it did not reach that, and was used again by a leader that started while the
+// successor was down. It is demoted once it is reachable.
+func TestFormerPrimaryIsDemotedLater(t *testing.T) {
+	withFailover(t, 0, 3*time.Millisecond, func(c *qt.C, fleet *fleet) {
+		unreachable := make(map[string]bool)
+		for _, testVM := range fleet.vms {
+			unreachable[testVM.name] = true
+		}
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = unreachable })
+		time.Sleep(5 * time.Second)
+		fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = nil })
+		time.Sleep(4 * time.Second)
+		conn, _, err := fleet.upstream.Dial(dbset.Member{ID: "a", Address: "a"}, "", time.Second)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		answer, err := conn.Ask(proto.GetReport{}, time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.Report.Primary, qt.IsFalse)
+		c.Assert(fleet.upstream.Terms(), qt.HasLen, 1)
+	})
+}
+
 // LOST, ONE: a replica that did not confirm its seal counted as sealed, and was promoted.
 func TestReplicaWithoutSealIsNotPromoted(t *testing.T) {
 	withFailover(t, 0, 3*time.Millisecond, func(c *qt.C, fleet *fleet) {
