--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -42,8 +42,9 @@
 	IsReplicationStopped bool
 	// Lag is the replication lag: the delay before a replica shows a commit.
 	Lag time.Duration
-	// StatementDuration is the execution time of a statement.
-	StatementDuration time.Duration
+	// StatementDuration is the execution time of a statement, RequestDuration that of any other
+	// request.
+	StatementDuration, RequestDuration time.Duration
 	// AnswersToLose is how many further successful statements have their answers lost.
 	AnswersToLose int
 	// BusyRefusals is how many further statements are refused with proto.Busy.
@@ -344,8 +345,12 @@
 		}
 		defer func() { database.busy-- }()
 	}
+	duration := database.RequestDuration
 	if isStatement(request) {
-		upstream.sleep(min(database.StatementDuration, timeout))
+		duration = database.StatementDuration
+	}
+	if duration > 0 {
+		upstream.sleep(min(duration, timeout))
 	}
 	if database.IsUnresponsive || database.UnreachableFrom[conn.vm] {
 		upstream.sleep(timeout)
