pool, entry: send nothing on a held connection with unread data

What callers saw: on the PostgreSQL front, a statement or COMMIT of an open transaction, or a statement with a request key and its COMMIT, got the second answer to the request before it if the database had answered that one twice. Each later request was shifted by one.

Cause: the check for unread data ran only when a connection was acquired. A transaction keeps its connection, and nothing was checked between its requests.

Why the fix works: pool.Conn.CheckUnread runs before each exchange and each query of the proxy itself. If anything was received, nothing is sent, the connection is closed, so that the database rolls back, and the caller gets the verdict notRun, also for a COMMIT. On a connection that was only just acquired a read or write is tried again on another one, within the retry budget. A second answer that arrives after the next request was sent is not found by this: answers are not matched with requests here as in package match.

On a connection that is not a plain socket the check sets a read deadline; it no longer ends the one of interrupt (TestCheckKeepsInterruption hangs without that).

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -89,7 +89,7 @@
 			return session.serveWrite(ctx, request)
 		case errors.Is(err, errBehindMinPosition):
 			session.router.Stats.RecordRetry(fault.ReasonStaleReplica)
-		case errors.As(err, &lost) || isRolledBack(err):
+		case errors.As(err, &lost) || isRolledBack(err) || errors.Is(err, pool.ErrNotSent):
 			if session.output.isPartlySent || ctx.Err() != nil || !session.router.TakeRetry(fault.ReasonUpstreamLost) {
 				return session.lostReadError(err)
 			}
@@ -113,6 +113,9 @@
 	if errors.As(err, &failure) {
 		return failure
 	}
+	if errors.Is(err, pool.ErrNotSent) {
+		return notSentError(err)
+	}
 	failure = fault.Lost(fault.ReasonUpstreamLost, "the connection to the database was lost during a read", err)
 	failure.Code = fault.CodeConnection
 	return failure
@@ -139,6 +142,10 @@
 				return fault.Refuse(fault.CodeUnavailable, fault.ReasonNoPrimary, "no primary accepted the request before the deadline")
 			}
 			session.output.discardWithheld()
+		case errors.Is(err, pool.ErrNotSent):
+			if !session.router.TakeRetry(fault.ReasonUpstreamLost) {
+				return notSentError(err)
+			}
 		case errors.As(err, &lost):
 			return fault.Lost(fault.ReasonUpstreamLost, "the connection to the database was lost before the outcome was known", lost.cause)
 		default:
@@ -264,7 +271,7 @@
 }
 
 // failPinned discards the open transaction's connection. The database then rolls
-// the transaction back, unless a COMMIT was sent.
+// the transaction back, unless a COMMIT was sent. After pool.ErrNotSent none was.
 //
 // Messages that are not preceded by a BEGIN form a transaction that the Sync
 // commits.
@@ -278,6 +285,10 @@
 		session.failTransaction(request)
 		return failure
 	}
+	if errors.Is(err, pool.ErrNotSent) {
+		session.failTransaction(request)
+		return notSentError(err)
+	}
 	var lost *lostError
 	if !errors.As(err, &lost) && !errors.Is(err, errBehindMinPosition) && !errors.Is(err, errRefusedWrite) {
 		return err
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -29,6 +29,13 @@
 }
 func (lost *lostError) Unwrap() error { return lost.cause }
 
+// notSentError returns the error for a request that was not sent.
+func notSentError(cause error) *fault.Error {
+	failure := fault.Refuse(fault.CodeConnection, fault.ReasonUpstreamLost, "the request was not sent: its connection to the database had unread data or had ended, and was closed")
+	failure.Cause = cause
+	return failure
+}
+
 // exchangeResult summarizes the database's answer.
 type exchangeResult struct {
 	// isReady is set once ReadyForQuery has arrived. It answers a Sync; a request that ends
@@ -68,7 +75,8 @@
 
 // exchange sends a request and buffers the answer in the session's output. Rows may be
 // sent to the caller early once the slot's position is verified; the end of the answer,
-// up to maxWithheldBytes, stays withheld.
+// up to maxWithheldBytes, stays withheld. On a connection with unread data nothing is sent, and
+// pool.ErrNotSent is returned.
 func (session *session) exchange(conn *pool.Conn, request *request, minPosition posn.Position) (exchangeResult, error) {
 	exchange := &exchange{
 		session:     session,
@@ -78,6 +86,9 @@
 		isVerified:  minPosition.IsZero(),
 		isPinned:    session.pinned != nil,
 	}
+	if err := conn.CheckUnread(); err != nil {
+		return exchange.result, err
+	}
 	exchange.answers = session.sendRequest(conn, request)
 	if request.sizeBytes < asyncFlushThresholdBytes {
 		if err := conn.Frontend.Flush(); err != nil {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -216,6 +216,9 @@
 		failure.Cause = err
 		return failure
 	}
+	if errors.Is(err, pool.ErrNotSent) {
+		return notSentError(err)
+	}
 	var pgErr *pgconn.PgError
 	if errors.As(err, &pgErr) {
 		return &fault.Error{Verdict: fault.NotRun, Code: pgErr.Code, Reason: fault.ReasonNoPrimary, Message: pgErr.Message}
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 
 	"github.com/bramleydoor/bramleydoor/group"
 	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/sock"
 )
 
 // resetQuery removes all session state that the next user of a connection could observe,
@@ -42,7 +44,14 @@
 	// Parameters are the parameters that the slot reported when the connection was opened.
 	Parameters map[string]string
 
-	net       net.Conn
+	net net.Conn
+	// peeker is that of a plain socket, from its first check on.
+	peeker *sock.Peeker
+	// deadlineMu guards isReadEnded and the read deadline of a connection that is not a plain
+	// socket. isReadEnded says that endRead was called.
+	deadlineMu  sync.Mutex
+	isReadEnded bool
+
 	prepared  map[string]struct{}
 	idleAt    time.Time
 	isDropped bool
@@ -120,8 +129,16 @@
 
 // Exec runs a simple query of the proxy itself and reads its whole result. An error
 // reported by the database is a *pgconn.PgError; after any other error the connection must
-// not be used again.
+// not be used again. ErrNotSent means that the query did not run.
 func (conn *Conn) Exec(query string) (Result, error) {
+	if err := conn.CheckUnread(); err != nil {
+		return Result{}, err
+	}
+	return conn.exec(query)
+}
+
+// exec is Exec without the check of unread data.
+func (conn *Conn) exec(query string) (Result, error) {
 	conn.Frontend.Send(&pgproto3.Query{String: query})
 	if err := conn.Frontend.Flush(); err != nil {
 		return Result{}, err
@@ -163,10 +180,14 @@
 const resetTag = "DISCARD"
 
 func (conn *Conn) reset() error {
+	// The check may end the deadline, so it comes first.
+	if err := conn.CheckUnread(); err != nil {
+		return err
+	}
 	if err := conn.net.SetDeadline(time.Now().Add(resetTimeout)); err != nil {
 		return err
 	}
-	result, err := conn.Exec(resetQuery)
+	result, err := conn.exec(resetQuery)
 	if err != nil {
 		return err
 	}
@@ -186,8 +207,7 @@
 // statement has ended. Unlike Close it leaves the connection readable, so that terminate
 // can wait for that. It may be called while a request uses the connection.
 func (conn *Conn) interrupt() {
-	// A connection that has failed meanwhile needs no interruption.
-	_ = conn.net.SetReadDeadline(time.Now())
+	conn.endRead()
 	_ = conn.net.SetWriteDeadline(time.Now().Add(terminateTimeout))
 	if message, err := (&pgproto3.Terminate{}).Encode(nil); err == nil {
 		_, _ = conn.net.Write(message)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,7 +4,7 @@
 //
 //  14. A transaction has a connection of its own. Another session gets the
 //     connection only after a confirmed reset; a connection in an unknown state is
-//     closed.
+//     closed. On a connection with unread data nothing is sent.
 //  15. Requests wait for a connection in a bounded fair queue (package fairq).
 //  16. Together, the connections that are open, being opened or being closed never
 //     exceed the VM's share of the group's limit. To connect to one slot the pool
--- a/pool/stutter_test.go
+++ b/pool/stutter_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -92,3 +94,44 @@
 		}
 	}
 }
+
+// MIXED: the next request on a connection that is held got the second answer to the request
+// before it.
+func TestHeldConnWithUnreadAnswerSendsNothing(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer near.Close()
+	far, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	go serveStuttering(far, "SELECT 'b'")
+	conn := &Conn{Status: 'T', net: near, Frontend: pgproto3.NewFrontend(near, near), prepared: make(map[string]struct{})}
+	for _, query := range []string{"SELECT 'a'", "SELECT 'b'"} {
+		result, err := conn.Exec(query)
+		c.Assert(err, qt.IsNil)
+		c.Check(result.Rows, qt.DeepEquals, []Row{{query}})
+	}
+	for range 2 {
+		result, err := conn.Exec("SELECT 'c'")
+		c.Check(errors.Is(err, ErrNotSent), qt.IsTrue)
+		c.Check(result.Rows, qt.HasLen, 0)
+	}
+}
+
+// The check for unread data ended the read time-out with which a connection in use is
+// interrupted, so that a request on it went on.
+func TestCheckKeepsInterruption(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &Conn{Status: 'T', net: near, Frontend: pgproto3.NewFrontend(near, near)}
+	c.Assert(conn.CheckUnread(), qt.IsNil)
+	go func() { _, _ = far.Read(make([]byte, 5)) }()
+	conn.interrupt()
+	c.Check(errors.Is(conn.CheckUnread(), ErrNotSent), qt.IsTrue)
+	_, err := conn.Receive()
+	c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
