pool: test that a reset is confirmed by its own tag

Callers would see MIXED: the late second answer to a statement confirms the reset, and the next session gets the answer to the reset. TestResetIsNotConfirmedByOtherAnswer fails with the check of the tag taken out (run once) and passes with it.

--- a/pool/stutter_test.go
+++ b/pool/stutter_test.go
@@ -135,3 +135,24 @@
 	_, err := conn.Receive()
 	c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
 }
+
+// MIXED: a reset counted as confirmed by the late second answer to the statement before it, and
+// the next session got the answer to the reset.
+func TestResetIsNotConfirmedByOtherAnswer(t *testing.T) {
+	for tag, want := range map[string]error{"SELECT 1": errNotReset, "DISCARD TEMP": nil} {
+		c := qt.New(t)
+		near, far := net.Pipe()
+		defer far.Close()
+		go func() {
+			backend := pgproto3.NewBackend(far, far)
+			if _, err := backend.Receive(); err != nil {
+				return
+			}
+			backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+			_ = backend.Flush()
+		}()
+		conn := &Conn{Status: 'I', net: near, Frontend: pgproto3.NewFrontend(near, near)}
+		c.Check(conn.reset(), qt.Equals, want, qt.Commentf("tag %s", tag))
+	}
+}
