entry: try a read that was not sent at the same database again

What callers saw: with the commit before, a read whose new connection got a second answer to the session's settings excluded the slot, which had not failed, for its further attempts; at a group of one slot it then had nowhere to go. Nothing tested the repeated attempt of a read or write.

Cause: what was not sent was handled as an answer that was lost.

Why the fix works: the request goes to another connection of any slot, within the deadline and the retry budget, which bound the attempts.

Measured: three runs of entry and pool with -race pass.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -89,7 +89,13 @@
 			return session.serveWrite(ctx, request)
 		case errors.Is(err, errBehindMinPosition):
 			session.router.Stats.RecordRetry(fault.ReasonStaleReplica)
-		case errors.As(err, &lost) || isRolledBack(err) || errors.Is(err, pool.ErrNotSent):
+		case errors.Is(err, pool.ErrNotSent):
+			// The slot has not failed, so it stays a candidate.
+			if ctx.Err() != nil || !session.router.TakeRetry(fault.ReasonUpstreamLost) {
+				return notSentError(err)
+			}
+			continue
+		case errors.As(err, &lost) || isRolledBack(err):
 			if session.output.isPartlySent || ctx.Err() != nil || !session.router.TakeRetry(fault.ReasonUpstreamLost) {
 				return session.lostReadError(err)
 			}
@@ -113,9 +119,6 @@
 	if errors.As(err, &failure) {
 		return failure
 	}
-	if errors.Is(err, pool.ErrNotSent) {
-		return notSentError(err)
-	}
 	failure = fault.Lost(fault.ReasonUpstreamLost, "the connection to the database was lost during a read", err)
 	failure.Code = fault.CodeConnection
 	return failure
