--- a/engine/release_test.go
+++ b/engine/release_test.go
@@ -83,7 +83,7 @@
 
 // PINNED: a VM that forwards an execution with empty arguments had it run without any.
 func TestEmptyArgumentsAreForwarded(t *testing.T) {
-	withSession(t, "current", func(c *qt.C, fixture *fixture, caller *fakeup.CallerConn) {
+	withSession(t, "current", func(c *qt.C, _ *fixture, caller *fakeup.CallerConn) {
 		caller.Ask(proto.Prepare{Name: "s", Definition: proto.Definition{Text: "q"}}, "")
 		for _, inTransaction := range []bool{false, true} {
 			if inTransaction {
