--- a/dbpool/ask_test.go
+++ b/dbpool/ask_test.go
@@ -178,6 +178,8 @@
 			_, err := conn.Ask(read, time.Second)
 			c.Check(errors.Is(err, proto.ErrLost), qt.IsTrue)
 			c.Check(conn.IsAlive(), qt.IsFalse)
+			conn.Put()
+			c.Check(script.isClosed, qt.IsTrue)
 		})
 	}
 }
--- a/match/match.go
+++ b/match/match.go
@@ -7,9 +7,10 @@
 //
 //  14. What a request's answer shows is its kind, its proof and its state. A statement's
 //     success has a proof that the connection has not received before, and is read on for past
-//     answers that must be earlier ones. The log's end doesn't move back on a connection. Errors are alike: only the first on a connection is
-//     believed. So are reports, and the answers to BEGIN: they are confirmed by barriers,
-//     requests without effect whose answers, plain successes, follow only if theirs came before.
+//     answers that must be earlier ones. The log's end doesn't move back on a connection. Only
+//     the first error on a connection is believed, since errors are alike. Reports are alike as
+//     well, and so are answers to BEGIN: they are confirmed by barriers, requests without effect
+//     whose answers, plain successes, follow only if theirs came before.
 package match
 
 import (
