--- a/review/standin2/database.go
+++ b/review/standin2/database.go
@@ -29,7 +29,8 @@
 	name   string
 	record *record
 	store  *kvStore
-	link   *bucket
+	// links has the link of each VM, by its name; one that it lacks is not limited.
+	links map[string]*bucket
 	// sync is syncReplicas. work is how long a read, write or commit takes, promoteAfter the time
 	// from a failover call until it takes effect.
 	sync               int
@@ -66,8 +67,8 @@
 }
 
 // newGroup starts a group's databases on free ports of an address.
-func newGroup(name, ip string, zones []string, slots int, record *record, store *kvStore, link *bucket) *group {
-	started := &group{name: name, record: record, store: store, link: link, work: 6 * time.Millisecond, promoteAfter: 300 * time.Millisecond, term: 3}
+func newGroup(name, ip string, zones []string, slots int, record *record, store *kvStore, links map[string]*bucket) *group {
+	started := &group{name: name, record: record, store: store, links: links, work: 6 * time.Millisecond, promoteAfter: 300 * time.Millisecond, term: 3}
 	started.changed = sync.NewCond(&started.mu)
 	for index, zone := range zones {
 		member := &database{
@@ -169,7 +170,7 @@
 // follow rolls a replica back to the primary's log, and gives it what it lacks; group.mu must be
 // held.
 func (group *group) follow(member *database) {
-	if group.primary == nil || group.primary.isDown || member.isDeaf || member.isDown || member == group.primary || member.sealed > group.term {
+	if group.primary == nil || group.primary.isDown || member.isDeaf || member.isDown || member.isLeader || member.sealed > group.term {
 		return
 	}
 	member.term = group.term
@@ -273,6 +274,7 @@
 // session is the state of one connection.
 type session struct {
 	member   *database
+	vm       string
 	conn     net.Conn
 	state    string
 	readOnly bool
@@ -307,7 +309,7 @@
 	if !member.takeSlot(12 * time.Millisecond) {
 		return
 	}
-	current := &session{member: member, conn: conn, state: "I", prepared: make(map[string]string)}
+	current := &session{member: member, vm: fields[2], conn: conn, state: "I", prepared: make(map[string]string)}
 	fmt.Fprintf(conn, "READY I %s\r\n", member.lockedPosition())
 	for {
 		line, err := readMessage(reader)
@@ -352,8 +354,8 @@
 		text.WriteString("DATAROW " + row + "\r\n")
 	}
 	fmt.Fprintf(&text, "%s\r\nREADY %s %s\r\n", result, current.state, current.member.lockedPosition())
-	if current.member.group.link != nil {
-		return current.member.group.link.send(current.conn, text.String())
+	if link := current.member.group.links[current.vm]; link != nil {
+		return link.send(current.conn, text.String())
 	}
 	_, err := current.conn.Write([]byte(text.String()))
 	return err
@@ -450,7 +452,8 @@
 }
 
 // commit appends a commit to the log, and waits until as many replicas as syncReplicas says have
-// received it. It returns false if the database ends before that.
+// received it. It returns false if the database ends before that, or leads no more: then its answer
+// is lost.
 func (member *database) commit(id string) bool {
 	group := member.group
 	group.mu.Lock()
@@ -458,13 +461,13 @@
 	last := member.log[len(member.log)-1]
 	mine := entry{member.term, last.number + 1, id}
 	member.log = append(member.log, mine)
-	for member.isLeader && !member.isDown {
-		if group.primary != member || group.replicate() >= group.sync {
-			break
+	for member.isLeader && !member.isDown && group.primary == member {
+		if group.replicate() >= group.sync {
+			return true
 		}
 		group.changed.Wait()
 	}
-	return !member.isDown && member.has(id)
+	return false
 }
 
 // hasReached reports whether the log has a position.
@@ -493,6 +496,7 @@
 	case keyword == "STEPDOWN" && member.isLeader && member.term < term:
 		group.record.write("%s steps down from term %d", member.id, member.term)
 		member.isLeader = false
+		group.follow(member)
 		group.changed.Broadcast()
 	}
 	role := "replica"
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -88,21 +89,20 @@
 	cloudAddress string
 	group        *group
 	vms          []*vm
-	memoryKilled chan string
 	isOver       chan struct{}
 }
 
 var zoneNames = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
 
 // newFleet starts the stand-ins, and prepares VMs on loopback addresses.
-func newFleet(record *record, link *bucket, memoryMB []int, syncReplicas int) *fleet {
+func newFleet(record *record, links map[string]*bucket, memoryMB []int, syncReplicas int) *fleet {
 	folder, err := os.MkdirTemp("", "review2-")
 	check(err)
 	net3 := 40 + os.Getpid()%150
 	ip := func(host int) string { return fmt.Sprintf("127.%d.%d.%d", net3, os.Getpid()/150%250, host) }
-	made := &fleet{folder: folder, program: os.Getenv("BRAMLEYVM"), record: record, store: newStore(), memoryKilled: make(chan string, 8), isOver: make(chan struct{})}
+	made := &fleet{folder: folder, program: os.Getenv("BRAMLEYVM"), record: record, store: newStore(), isOver: make(chan struct{})}
 	made.storeAddress = serveHTTP(ip(1), made.store.handler())
-	made.group = newGroup("ledger", ip(2), zoneNames[:3], 3, record, made.store, link)
+	made.group = newGroup("ledger", ip(2), zoneNames[:3], 3, record, made.store, links)
 	made.group.sync = syncReplicas
 	cloud := http.NewServeMux()
 	cloud.HandleFunc("POST /failover", made.group.failover)
@@ -214,14 +214,14 @@
 	return 0
 }
 
-// enforceMemory kills a process that exceeds its memory, as the platform does, and records the
-// highest memory.
-func (fleet *fleet) enforceMemory(vm *vm) {
+// enforceMemory kills each process of a VM that exceeds its memory, and starts the next one a
+// second later, as the platform does. It counts the processes that were killed.
+func (fleet *fleet) enforceMemory(vm *vm, killed *atomic.Int64) {
 	highest := 0
 	for {
 		select {
 		case <-fleet.isOver:
-			vm.record.write("highest memory of %s: %d MB of %d", vm.name, highest, vm.memoryMB)
+			vm.record.write("highest memory of %s: %d MB of %d; killed %d times", vm.name, highest, vm.memoryMB, killed.Load())
 			return
 		case <-time.After(10 * time.Millisecond):
 		}
@@ -230,10 +230,13 @@
 		if resident > vm.memoryMB {
 			vm.record.write("%s has %d MB, over its limit of %d MB: the platform kills it", vm.name, resident, vm.memoryMB)
 			vm.mu.Lock()
-			_ = vm.command.Process.Kill()
+			command, ended := vm.command, vm.ended
 			vm.mu.Unlock()
-			fleet.memoryKilled <- vm.name
-			return
+			_ = command.Process.Kill()
+			<-ended
+			killed.Add(1)
+			time.Sleep(time.Second)
+			fleet.start(vm)
 		}
 	}
 }
