--- a/review/standin2/database.go
+++ b/review/standin2/database.go
@@ -22,6 +22,7 @@
 type entry struct {
 	term, number uint64
 	id           string
+	at           time.Time
 }
 
 // group is a service: a primary and its replicas. It is a sound stand-in by PROTOCOL.md.
@@ -42,8 +43,12 @@
 	primary   *database
 	databases []*database
 	proofs    uint64
-	// promoted is called with the database that is promoted; group.mu is held.
+	// lag is how long after a commit a replica applies it. promoted is called with the database
+	// that is promoted, onRead with a read and the part of the log that it runs on; group.mu is
+	// held.
+	lag      time.Duration
 	promoted func(member *database)
+	onRead   func(member *database, id string, log []entry)
 }
 
 type database struct {
@@ -53,7 +58,9 @@
 	address string
 	slots   chan struct{}
 
-	// What follows is guarded by group.mu. log has the commits that the database has received.
+	// What follows is guarded by group.mu. log has the commits that the database has received,
+	// state is that of its entry.
+	state    string
 	log      []entry
 	term     uint64
 	isLeader bool
@@ -72,8 +79,8 @@
 	started.changed = sync.NewCond(&started.mu)
 	for index, zone := range zones {
 		member := &database{
-			group: started, id: fmt.Sprintf("i-%s%d", name, index), zone: zone, address: ip + ":0", term: 3,
-			slots: make(chan struct{}, slots), log: []entry{{3, 100, "start"}}, conns: make(map[net.Conn]struct{}),
+			group: started, id: fmt.Sprintf("i-%s%d", name, index), zone: zone, address: ip + ":0", term: 3, state: "ready",
+			slots: make(chan struct{}, slots), log: []entry{{3, 100, "start", time.Time{}}}, conns: make(map[net.Conn]struct{}),
 		}
 		started.databases = append(started.databases, member)
 		member.listen()
@@ -132,7 +139,7 @@
 	member.lastBeat = time.Now()
 	member.group.store.put("servers/"+member.id, map[string]any{
 		"service": member.group.name, "address": member.address, "zone": member.zone, "version": "v1", "slots": cap(member.slots),
-		"state": "ready", "warmupLeftMs": 0, "dbRole": role, "seq": member.seq, "born": bornMS,
+		"state": member.state, "warmupLeftMs": 0, "dbRole": role, "seq": member.seq, "born": bornMS,
 	})
 }
 
@@ -200,16 +207,39 @@
 	member.group.changed.Broadcast()
 }
 
+// drain makes a database report that it is draining.
+func (member *database) drain() {
+	member.group.mu.Lock()
+	defer member.group.mu.Unlock()
+	member.state = "draining"
+	member.beat()
+	member.group.record.write("%s reports that it is draining", member.id)
+}
+
 // position returns the end of the log; group.mu must be held.
 func (member *database) position() string {
 	last := member.log[len(member.log)-1]
 	return fmt.Sprintf("%d.%d", last.term, last.number)
 }
 
+// lockedPosition returns the end of what reads show.
 func (member *database) lockedPosition() string {
 	member.group.mu.Lock()
 	defer member.group.mu.Unlock()
-	return member.position()
+	applied := member.applied()
+	last := applied[len(applied)-1]
+	return fmt.Sprintf("%d.%d", last.term, last.number)
+}
+
+// applied returns the part of the log that reads show; group.mu must be held.
+func (member *database) applied() []entry {
+	end := len(member.log)
+	if !member.isLeader {
+		for limit := time.Now().Add(-member.group.lag); end > 1 && member.log[end-1].at.After(limit); {
+			end--
+		}
+	}
+	return member.log[:end]
 }
 
 // has reports whether the log has the commit of a request; group.mu must be held.
@@ -251,7 +281,7 @@
 	group.primary = member
 	member.isLeader, member.sealed, member.term = true, 0, group.term
 	last := member.log[len(member.log)-1]
-	member.log = append(append([]entry(nil), member.log...), entry{group.term, last.number + 1, "term"})
+	member.log = append(append([]entry(nil), member.log...), entry{group.term, last.number + 1, "term", time.Now()})
 	group.record.write("%s is promoted with its log up to %d.%d and leads term %d", member.id, last.term, last.number, group.term)
 	if group.promoted != nil {
 		group.promoted(member)
@@ -423,6 +453,11 @@
 	}
 	switch keyword {
 	case "READ":
+		member.group.mu.Lock()
+		if member.group.onRead != nil {
+			member.group.onRead(member, id, member.applied())
+		}
+		member.group.mu.Unlock()
 		return current.reply(rowsOf(rest), "COMPLETE "+member.group.proof())
 	case "WRITE":
 		if !member.leads() {
@@ -459,7 +494,7 @@
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	last := member.log[len(member.log)-1]
-	mine := entry{member.term, last.number + 1, id}
+	mine := entry{member.term, last.number + 1, id, time.Now()}
 	member.log = append(member.log, mine)
 	for member.isLeader && !member.isDown && group.primary == member {
 		if group.replicate() >= group.sync {
@@ -477,7 +512,8 @@
 	number, _ := strconv.ParseUint(numberText, 10, 64)
 	member.group.mu.Lock()
 	defer member.group.mu.Unlock()
-	last := member.log[len(member.log)-1]
+	applied := member.applied()
+	last := applied[len(applied)-1]
 	return last.term > term || last.term == term && last.number >= number
 }
 
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -30,10 +30,12 @@
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
+	// listReadAt is when each VM last read what the VMs themselves have written, by its index.
+	listReadAt map[int]time.Time
 }
 
 func newStore() *kvStore {
-	return &kvStore{revision: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &kvStore{revision: 1, items: make(map[string]item), listReadAt: make(map[int]time.Time), changed: make(chan struct{})}
 }
 
 // put writes a key without a condition, as the operator and the databases do.
@@ -75,6 +77,19 @@
 	store.changed = make(chan struct{})
 }
 
+// handlerFor returns the handler for one VM.
+func (store *kvStore) handlerFor(index int) http.Handler {
+	inner := store.handler()
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/kv-range" && request.URL.Query().Get("prefix") == "bramley/" {
+			store.mu.Lock()
+			store.listReadAt[index] = time.Now()
+			store.mu.Unlock()
+		}
+		inner.ServeHTTP(writer, request)
+	})
+}
+
 func (store *kvStore) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", store.serveKey)
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -71,6 +71,7 @@
 	name, ip, zone string
 	memoryMB       int
 	front, ready   string
+	store          string
 	settings, log  string
 	record         *record
 
@@ -85,7 +86,6 @@
 	program      string
 	record       *record
 	store        *kvStore
-	storeAddress string
 	cloudAddress string
 	group        *group
 	vms          []*vm
@@ -101,7 +101,6 @@
 	net3 := 40 + os.Getpid()%150
 	ip := func(host int) string { return fmt.Sprintf("127.%d.%d.%d", net3, os.Getpid()/150%250, host) }
 	made := &fleet{folder: folder, program: os.Getenv("BRAMLEYVM"), record: record, store: newStore(), isOver: make(chan struct{})}
-	made.storeAddress = serveHTTP(ip(1), made.store.handler())
 	made.group = newGroup("ledger", ip(2), zoneNames[:3], 3, record, made.store, links)
 	made.group.sync = syncReplicas
 	cloud := http.NewServeMux()
@@ -120,7 +119,7 @@
 	for index, memory := range memoryMB {
 		address := ip(10 + index)
 		made.vms = append(made.vms, &vm{
-			name: fmt.Sprintf("front-%d", index), ip: address, zone: zoneNames[index%len(zoneNames)], memoryMB: memory, record: record,
+			name: fmt.Sprintf("front-%d", index), ip: address, store: serveHTTP(ip(1), made.store.handlerFor(index)), zone: zoneNames[index%len(zoneNames)], memoryMB: memory, record: record,
 			front: address + ":8784", ready: address + ":8785",
 			settings: filepath.Join(folder, fmt.Sprintf("vm%d.conf", index)), log: filepath.Join(folder, fmt.Sprintf("vm%d.log", index)),
 		})
@@ -143,7 +142,7 @@
 		"bootstrap=true", "limits.cpuShare=0.8", "limits.cores=1", fmt.Sprintf("limits.memoryMb=%d", vm.memoryMB), "limits.maxFds=6300",
 		"limits.linkMbps=1500.0", "limits.diskMb=0", "discovery=platform", "entry=vip", "heartbeatMs=1200",
 		"bounds.contactMs=4000", "bounds.drainMs=7000", "bounds.graceS=6", "bounds.lossSlackMs=200", "bounds.configApplyMs=3000",
-		"platform.address=" + fleet.storeAddress, "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000",
+		"platform.address=" + vm.store, "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000",
 		"platform.historyS=20", "platform.valueBytes=1048576", "cloud.address=" + fleet.cloudAddress, "cloud.duties=failover",
 	}
 	check(os.WriteFile(vm.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
