--- a/review/standin2/database.go
+++ b/review/standin2/database.go
@@ -60,7 +60,10 @@
 
 	// What follows is guarded by group.mu. log has the commits that the database has received,
 	// state is that of its entry.
+	// shown is how much of the log reads have shown: that is never taken back, unless it is rolled
+	// back.
 	state    string
+	shown    int
 	log      []entry
 	term     uint64
 	isLeader bool
@@ -180,7 +183,12 @@
 	if group.primary == nil || group.primary.isDown || member.isDeaf || member.isDown || member.isLeader || member.sealed > group.term {
 		return
 	}
-	member.term = group.term
+	member.applied()
+	common := 0
+	for common < min(member.shown, len(group.primary.log)) && member.log[common] == group.primary.log[common] {
+		common++
+	}
+	member.term, member.shown = group.term, common
 	member.log = append([]entry(nil), group.primary.log...)
 }
 
@@ -235,10 +243,11 @@
 func (member *database) applied() []entry {
 	end := len(member.log)
 	if !member.isLeader {
-		for limit := time.Now().Add(-member.group.lag); end > 1 && member.log[end-1].at.After(limit); {
+		for limit := time.Now().Add(-member.group.lag); end > max(member.shown, 1) && member.log[end-1].at.After(limit); {
 			end--
 		}
 	}
+	member.shown = end
 	return member.log[:end]
 }
 
@@ -292,7 +301,7 @@
 			group.mu.Lock()
 			defer group.mu.Unlock()
 			if former != group.primary {
-				former.isLeader = false
+				former.shown, former.isLeader = len(former.log), false
 				group.follow(former)
 			}
 		})
@@ -531,6 +540,7 @@
 		group.changed.Broadcast()
 	case keyword == "STEPDOWN" && member.isLeader && member.term < term:
 		group.record.write("%s steps down from term %d", member.id, member.term)
+		member.shown = len(member.log)
 		member.isLeader = false
 		group.follow(member)
 		group.changed.Broadcast()
