--- a/review/standin2/stale.go
+++ b/review/standin2/stale.go
@@ -15,6 +15,10 @@
 	addAfter   = 215 * time.Millisecond
 	stopAfter  = 900 * time.Millisecond
 	drainAfter = 100 * time.Millisecond
+	// restartAt and restartStopAfter are the same for a VM that is restarted: its SIGTERM comes so
+	// long after the other VMs' reads of their list that it has left just before their next but one.
+	restartAt        = 3870 * time.Millisecond
+	restartStopAfter = 750 * time.Millisecond
 )
 
 // history has the acknowledged commits in the order of their acknowledgements, and what reads lack.
@@ -72,7 +76,12 @@
 // playStale: a machine is added; a second later the leader's machine is stopped, and then the
 // primary is to be replaced. All of it is planned work. Without the disruption the leader's machine
 // is not stopped.
-func playStale(record *record, isTroubled bool) int {
+func playStale(record *record, isTroubled bool) int { return play(record, isTroubled, false) }
+
+// playRestart is playStale with a machine that is stopped and started again instead of an added one.
+func playRestart(record *record, isTroubled bool) int { return play(record, isTroubled, true) }
+
+func play(record *record, isTroubled, isRestart bool) int {
 	fleet := newFleet(record, nil, []int{414, 414, 544, 544, 544, 414}, 0)
 	defer fleet.stop()
 	group := fleet.group
@@ -93,15 +102,38 @@
 	group.mu.Unlock()
 	over := make(chan struct{})
 	var callers sync.WaitGroup
+	if isRestart {
+		leader := fleet.leader()
+		for _, vm := range first {
+			if vm != leader {
+				added = vm
+			}
+		}
+	}
 	for index, vm := range first {
+		if vm == added {
+			continue
+		}
 		for number := range 4 {
 			callers.Go(func() { history.playCalls(vm, fmt.Sprintf("w%d%d", index, number), "WRITE k v", over) })
 		}
 	}
 	time.Sleep(time.Second)
 	fleet.awaitListReads(len(first))
-	time.Sleep(addAfter)
-	record.write("%s is added", added.name)
+	fleet.store.mu.Lock()
+	readAt := fleet.store.listReadAt[0]
+	fleet.store.mu.Unlock()
+	stopAfter := stopAfter
+	if isRestart {
+		stopAfter = restartStopAfter
+		time.Sleep(time.Until(readAt.Add(restartAt)))
+		record.write("SIGTERM to %s, which starts again", added.name)
+		check(added.command.Process.Signal(syscall.SIGTERM))
+		<-added.ended
+	} else {
+		time.Sleep(addAfter)
+		record.write("%s is added", added.name)
+	}
 	fleet.start(added)
 	if !added.awaitReady(5 * time.Second) {
 		return 2
