--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,6 +2,6 @@
 # Builds the stand-ins of the second review's scripts. It needs no network: they use the standard
 # library only.
 set -euo pipefail
-cd "$(dirname "$0")/standin2"
-mkdir -p ../../target
-go build -o ../../target/standin2 .
+cd "$(dirname "$0")/standin2/platform"
+mkdir -p ../../../target
+go build -o ../../../target/standin2 .
