--- a/review/standin2/platform/database.go
+++ b/review/standin2/platform/database.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,10 +46,11 @@
 	databases []*database
 	proofs    uint64
 	// lag is how long after a commit a replica applies it. promoted is called with the database
-	// that is promoted, onRead with a read and the part of the log that it runs on; group.mu is
+	// that is promoted, onCommit with a commit, onRead with a read and the part of the log that it runs on; group.mu is
 	// held.
 	lag      time.Duration
 	promoted func(member *database)
+	onCommit func(member *database, id string)
 	onRead   func(member *database, id string, log []entry)
 }
 
@@ -70,6 +73,11 @@
 	sealed   uint64
 	isDeaf   bool
 	isDown   bool
+	// isCut is set while the database is partitioned from the group's other databases, cutVMs has
+	// the VMs from which it is partitioned.
+	isCut    bool
+	cutVMs   map[string]bool
+	healedAt time.Time
 	lastBeat time.Time
 	seq      int
 	listener net.Listener
@@ -180,7 +188,7 @@
 // follow rolls a replica back to the primary's log, and gives it what it lacks; group.mu must be
 // held.
 func (group *group) follow(member *database) {
-	if group.primary == nil || group.primary.isDown || member.isDeaf || member.isDown || member.isLeader || member.sealed > group.term {
+	if group.primary == nil || group.primary.isDown || group.primary.isCut || member.isCut || member.isDeaf || member.isDown || member.isLeader || member.sealed > group.term {
 		return
 	}
 	member.applied()
@@ -296,20 +304,79 @@
 		group.promoted(member)
 	}
 	if former != nil && former != member && !former.isDown {
-		// It can reach the new primary, and follows it within a second.
-		time.AfterFunc(time.Second, func() {
-			group.mu.Lock()
-			defer group.mu.Unlock()
-			if former != group.primary {
-				former.shown, former.isLeader = len(former.log), false
-				group.follow(former)
-			}
-		})
+		go group.endFormer(former)
 	}
 	group.replicate()
 	group.changed.Broadcast()
 }
 
+// endFormer makes a replica of a former primary, a second after it can reach the new one.
+func (group *group) endFormer(former *database) {
+	for reachedFor := time.Duration(0); reachedFor < time.Second; {
+		time.Sleep(20 * time.Millisecond)
+		group.mu.Lock()
+		isOver := former.isDown || !former.isLeader || former == group.primary
+		canReach := !former.isCut && !group.primary.isDown && !group.primary.isCut
+		group.mu.Unlock()
+		reachedFor += 20 * time.Millisecond
+		if isOver {
+			return
+		}
+		if !canReach {
+			reachedFor = 0
+		}
+	}
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if former.isLeader && former != group.primary {
+		group.record.write("%s follows the new primary", former.id)
+		former.shown, former.isLeader = len(former.log), false
+		group.follow(former)
+	}
+}
+
+// cut partitions a database from the others of its group and from VMs, until heal.
+func (member *database) cut(vms ...string) {
+	member.group.mu.Lock()
+	defer member.group.mu.Unlock()
+	member.group.record.write("%s is partitioned from the other databases and from %s", member.id, strings.Join(vms, ", "))
+	member.isCut, member.cutVMs = true, make(map[string]bool)
+	for _, vm := range vms {
+		member.cutVMs[vm] = true
+	}
+}
+
+func (member *database) heal() {
+	member.group.mu.Lock()
+	defer member.group.mu.Unlock()
+	member.group.record.write("the partition of %s has healed; it leads term %d: %t", member.id, member.term, member.isLeader)
+	member.isCut, member.cutVMs, member.healedAt = false, nil, time.Now()
+	member.group.follow(member)
+}
+
+// awaitPath holds up what a VM has sent while the database is partitioned from it. It returns false
+// if the VM has reset the connection by then, upon which what was held up is lost.
+func (member *database) awaitPath(vm string, conn net.Conn, reader *bufio.Reader) bool {
+	wasCut := false
+	for {
+		member.group.mu.Lock()
+		isCut := member.cutVMs[vm] && !member.isDown
+		member.group.mu.Unlock()
+		if !isCut {
+			break
+		}
+		wasCut = true
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !wasCut {
+		return true
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := reader.Peek(1)
+	_ = conn.SetReadDeadline(time.Time{})
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // session is the state of one connection.
 type session struct {
 	member   *database
@@ -345,7 +412,7 @@
 		fmt.Fprint(conn, "ERROR WRONGNODE -\r\n")
 		return
 	}
-	if !member.takeSlot(12 * time.Millisecond) {
+	if !member.awaitPath(fields[2], conn, reader) || !member.takeSlot(12*time.Millisecond) {
 		return
 	}
 	current := &session{member: member, vm: fields[2], conn: conn, state: "I", prepared: make(map[string]string)}
@@ -355,7 +422,7 @@
 		if err != nil || line == "TERMINATE" {
 			return
 		}
-		if current.handle(line) != nil {
+		if !member.awaitPath(fields[2], conn, reader) || current.handle(line) != nil {
 			return
 		}
 	}
@@ -505,6 +572,15 @@
 	last := member.log[len(member.log)-1]
 	mine := entry{member.term, last.number + 1, id, time.Now()}
 	member.log = append(member.log, mine)
+	if group.onCommit != nil {
+		group.onCommit(member, id)
+	}
+	if group.sync == 0 {
+		if group.primary == member {
+			group.replicate()
+		}
+		return true
+	}
 	for member.isLeader && !member.isDown && group.primary == member {
 		if group.replicate() >= group.sync {
 			return true
--- a/review/standin2/platform/lost.go
+++ b/review/standin2/platform/lost.go
@@ -124,7 +124,6 @@
 		if session == nil {
 			opened, err := open(vm.front, "writes", 0)
 			if err != nil {
-				record.write("%s: %v", name, err)
 				continue
 			}
 			session = opened
