--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 target="$(cd ../.. && pwd)/target"
 [ -x "$target/bramleyvm" ] && [ -x "$target/standin2" ] || { echo "build bramleyvm and run review/build-2.sh first" >&2; exit 2; }
-BRAMLEYVM="$target/bramleyvm" exec "$target/standin2" memory record.txt
+BRAMLEYVM="$target/bramleyvm" exec "$target/standin2" gone record.txt
--- a/review/standin2/platform/main.go
+++ b/review/standin2/platform/main.go
@@ -14,7 +14,7 @@
 const timeLimit = 110 * time.Second
 
 func main() {
-	cases := map[string]func(record *record, isTroubled bool) int{"memory": playMemory, "lost": playLost, "stale": playStale, "restart": playRestart, "former": playFormer}
+	cases := map[string]func(record *record, isTroubled bool) int{"memory": playMemory, "lost": playLost, "stale": playStale, "restart": playRestart, "former": playFormer, "gone": playGone}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD; BRAMLEYVM is the program, TROUBLE=0 leaves the disruption out")
 		os.Exit(2)
