--- a/review/standin2/platform/stale.go
+++ b/review/standin2/platform/stale.go
@@ -12,7 +12,9 @@
 	// addAfter is the time from the other VMs' last reads of their list until a VM is added,
 	// stopAfter the time from then, once it is ready, until the leader's SIGTERM, and drainAfter
 	// that from the SIGTERM until the primary reports that it is draining.
-	addAfter   = 215 * time.Millisecond
+	addAfter = 215 * time.Millisecond
+	// rounds is how often it is played at most, each time with a new fleet, until a rule is broken.
+	rounds     = 4
 	stopAfter  = 900 * time.Millisecond
 	drainAfter = 100 * time.Millisecond
 	// restartAt and restartStopAfter are the same for a VM that is restarted: its SIGTERM comes so
@@ -76,10 +78,25 @@
 // playStale: a machine is added; a second later the leader's machine is stopped, and then the
 // primary is to be replaced. All of it is planned work. Without the disruption the leader's machine
 // is not stopped.
-func playStale(record *record, isTroubled bool) int { return play(record, isTroubled, false) }
+func playStale(record *record, isTroubled bool) int { return playRounds(record, isTroubled, false) }
 
 // playRestart is playStale with a machine that is stopped and started again instead of an added one.
-func playRestart(record *record, isTroubled bool) int { return play(record, isTroubled, true) }
+func playRestart(record *record, isTroubled bool) int { return playRounds(record, isTroubled, true) }
+
+// playRounds plays rounds until a rule is broken. It returns 2 if no round could be played.
+func playRounds(record *record, isTroubled, isRestart bool) int {
+	result := 2
+	for round := range rounds {
+		record.write("round %d", round+1)
+		switch play(record, isTroubled, isRestart) {
+		case 0:
+			result = 0
+		case 1:
+			return 1
+		}
+	}
+	return result
+}
 
 func play(record *record, isTroubled, isRestart bool) int {
 	fleet := newFleet(record, nil, []int{414, 414, 544, 544, 544, 414}, 0)
