--- a/review/standin2/platform/world.go
+++ b/review/standin2/platform/world.go
@@ -130,6 +130,7 @@
 func check(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+		stopAll()
 		os.Exit(2)
 	}
 }
