leader, lease, promo: the newest term of each group is in the leader's record

Cause: a settled order left the record, so a leader that started believed the newest term that the databases that answered told it. A former primary that could not be demoted and one replica that had received nothing sufficed.

Change: the record keeps each group's newest term and its primary. Leases are issued for that term only, once it is recorded; the record outlasts all VMs, so no VM's or database's word is needed. An order stays unsettled until a later term begins, unless its database answers as a replica. Groups that move between sets take states and unsettled orders along.

history_test.go: a commit that the next term has and the one after lacks was rolled back too ("Commits that a promote rolled back don't count"); the chain of terms is followed now, which is no weaker for one promotion.

--- a/dbset/lease.go
+++ b/dbset/lease.go
@@ -93,6 +93,15 @@
 	return true
 }
 
+// AdoptTerm records that a term has begun. Its primary is not known if that is news.
+func (group *Group) AdoptTerm(term uint64) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if term > group.term {
+		group.adoptTerm(term)
+	}
+}
+
 // adoptTerm records a newer term whose primary is not known yet.
 func (group *Group) adoptTerm(term uint64) {
 	group.term, group.confirmedTerm, group.primary, group.lastPrimary = term, term, "", ""
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -29,6 +29,8 @@
 	Member
 	Report     Report
 	ReportedAt time.Time
+	// RequestedAt is when the report was requested.
+	RequestedAt time.Time
 	// FailingSince is the time of the first consecutive failure; zero if the last
 	// request was answered.
 	FailingSince time.Time
@@ -50,7 +52,7 @@
 	for _, id := range group.order {
 		member := group.members[id]
 		state.Members = append(state.Members, MemberState{
-			Member: member.Member, Report: member.report, ReportedAt: member.reportedAt,
+			Member: member.Member, Report: member.report, ReportedAt: member.reportedAt, RequestedAt: member.requestedAt,
 			FailingSince: member.failingSince, Failures: member.failures, RefusedConnections: member.refusedConnections, LastAnswerAt: member.lastAnswerAt,
 			IsAbsent: !member.absentUntil.IsZero(),
 		})
--- a/leader/claim.go
+++ b/leader/claim.go
@@ -110,7 +110,7 @@
 
 // actsOn reports whether the VM, as the leader, may act on a group. elector.mu must be held.
 func (elector *Elector) actsOn(group string) bool {
-	return SetOf(group, elector.configured()) == elector.Set && elector.grant != nil && elector.grant.allows(elector.Set, group)
+	return elector.isOurs(group) && elector.grant != nil && elector.grant.allows(elector.Set, group)
 }
 
 // configured returns the number of sets by the configuration. elector.mu must be held.
@@ -155,10 +155,10 @@
 // not by Run, which alone changes the record.
 func (elector *Elector) claimed() int { return max(elector.confirmed.Sets, 1) }
 
-// beginClaim returns the number of sets, the token and the orders for the next renewal, and the
-// record that it follows. While an order is in flight or unsettled for a group that the leader gives up, the
+// beginClaim returns the number of sets by which the next renewal claims groups, its record
+// without the claim, and the record that it follows. While an order is in flight or unsettled for a group that the leader gives up, the
 // record goes on claiming it.
-func (elector *Elector) beginClaim() (sets int, token uint64, orders map[string]Order, former record) {
+func (elector *Elector) beginClaim() (sets int, next, former record) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
 	sets = elector.configured()
@@ -169,7 +169,7 @@
 		// The write may be made even if its answer is lost.
 		elector.grant.sets = append(slices.Clone(elector.grant.sets), sets)
 	}
-	return sets, max(elector.token, elector.minToken), elector.ordersToWrite(), elector.confirmed
+	return sets, elector.nextRecord(max(elector.token, elector.minToken)), elector.confirmed
 }
 
 // isSettled reports whether nothing is left to be read of the other sets' records.
@@ -195,6 +195,7 @@
 	now := elector.Clock.Now()
 	next := &grant{sets: []int{elector.claimed()}, blockers: make(map[int]int)}
 	var highest uint64
+	var others []record
 	for _, item := range items {
 		set, ok := setOfKey(item.Key)
 		if !ok || set == elector.Set {
@@ -202,6 +203,7 @@
 		}
 		next.at = now
 		other, isLive := elector.observeOther(set, item, now)
+		others = append(others, other)
 		highest = max(highest, other.formerToken(elector.claimed()))
 		if isLive && other.Sets != elector.claimed() {
 			next.blockers[set] = other.Sets
@@ -217,6 +219,7 @@
 		// Another set's leader may have issued leases for the groups until now.
 		elector.predecessorRenewedAt = time.Time{}
 	}
+	elector.adopt(others)
 	elector.grant = next
 	elector.changed.notify()
 	if len(next.blockers) > 0 {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -10,7 +10,8 @@
 //     seeing it unchanged for longer than TTL. Both use clocks that keep counting while the
 //     VM is suspended, so two VMs never hold the lease at the same time. An order is in the
 //     record before it is sent and until its outcome is known, so that the next leader knows
-//     which orders may still take effect.
+//     which orders may still take effect. The newest term of each group stays in the record: a
+//     leader that starts, at whichever VM, uses no former primary while the newest is down.
 package leader
 
 import (
@@ -98,6 +99,10 @@
 	wake chan struct{}
 	// sets is the number of sets by the configuration; 0 counts as 1.
 	sets int
+	// groups has what is known of the groups, see Known. hasGroups is set if the record that this
+	// leader replaced stated it, or there was none.
+	groups    map[string]GroupState
+	hasGroups bool
 	// confirmed is the last confirmed record, grant what is known of the other sets' claims; nil
 	// if nothing is.
 	confirmed record
@@ -111,7 +116,7 @@
 	// record, and when the lease is lost.
 	unsettled map[string]Order
 	renewed   broadcast
-	// version counts the changes of unsettled. writing is the version that the write in progress
+	// version counts the changes of unsettled and groups. writing is the version that the write in progress
 	// has, recorded that of the last confirmed write.
 	version, writing, recorded uint64
 	// isStopping is set before the lease is released: no further order may begin.
@@ -171,6 +176,9 @@
 	if elector.unsettled == nil {
 		elector.unsettled = make(map[string]Order)
 	}
+	if elector.groups == nil {
+		elector.groups = make(map[string]GroupState)
+	}
 	elector.initWake()
 }
 
@@ -363,7 +371,10 @@
 	elector.predecessorRenewedAt, elector.minToken, elector.freeSince = renewedAt, 0, time.Time{}
 	elector.unsettled = make(map[string]Order, len(old.Orders))
 	maps.Copy(elector.unsettled, old.Orders)
-	next := record{Leader: elector.VM, Run: elector.Process, Token: old.Token + 1, Orders: elector.ordersToWrite()}
+	elector.groups = make(map[string]GroupState, len(old.Groups))
+	maps.Copy(elector.groups, old.Groups)
+	elector.hasGroups = old.Groups != nil || elector.observed.Revision == 0
+	next := elector.nextRecord(old.Token + 1)
 	if elector.sets > 1 {
 		// Sets that are taken at the same time begin with different tokens.
 		next.Token += uint64(elector.Set)
--- a/leader/order.go
+++ b/leader/order.go
@@ -16,12 +16,6 @@
 	IsRepeated bool `json:"isRepeated,omitempty"`
 }
 
-// ordersToWrite returns the orders for the next write of the record. elector.mu must be held.
-func (elector *Elector) ordersToWrite() map[string]Order {
-	elector.writing = elector.version
-	return maps.Clone(elector.unsettled)
-}
-
 // RecordOrder writes an order for a group into the record, and reports whether that was
 // confirmed before ctx ended. An order may be sent only after that: if this VM fails, its
 // successor finds the order in the record.
--- a/leader/record.go
+++ b/leader/record.go
@@ -28,6 +28,19 @@
 	Before *uint64 `json:"before,omitempty"`
 	// Orders has the orders that may still take effect, by group.
 	Orders map[string]Order `json:"orders,omitempty"`
+	// Groups has the states of the groups, also of those that no longer belong to the set. It is
+	// absent in records of versions that don't have it, and nothing is known of the groups then.
+	Groups map[string]GroupState `json:"groups"`
+}
+
+// nextRecord returns the record for the next write under a token, without the claim of groups.
+// elector.mu must be held.
+func (elector *Elector) nextRecord(token uint64) record {
+	elector.writing = elector.version
+	return record{
+		Leader: elector.VM, Run: elector.Process, Token: token,
+		Orders: maps.Clone(elector.unsettled), Groups: maps.Clone(elector.groups),
+	}
 }
 
 // formerToken bounds the tokens with which leaders of the record's set may have acted on groups
@@ -125,8 +138,7 @@
 // renew extends the lease and reports whether that was confirmed. The fencing token stays
 // unless another set's is higher.
 func (elector *Elector) renew(ctx context.Context) bool {
-	sets, token, orders, former := elector.beginClaim()
-	next := record{Leader: elector.VM, Run: elector.Process, Token: token, Orders: orders}
+	sets, next, former := elector.beginClaim()
 	return elector.writeRecord(ctx, next.claiming(sets, former))
 }
 
@@ -176,7 +188,8 @@
 		return
 	}
 	elector.mu.Lock()
-	released := record{Token: token, Sets: elector.confirmed.Sets, Before: elector.confirmed.Before, Orders: maps.Clone(elector.unsettled)}
+	released := elector.nextRecord(token)
+	released.Leader, released.Run, released.Sets, released.Before = "", 0, elector.confirmed.Sets, elector.confirmed.Before
 	elector.mu.Unlock()
 	elector.invalidate("released")
 	ctx, cancel := context.WithTimeout(context.Background(), TTL/2)
--- a/leader/sets.go
+++ b/leader/sets.go
@@ -162,6 +162,29 @@
 // Order is Elector.Order for the set of a group.
 func (sets *Sets) Order(group string) (Order, bool) { return sets.electorOf(group).Order(group) }
 
+// Known is Elector.Known for the set of a group.
+func (sets *Sets) Known(group string) (GroupState, bool) { return sets.electorOf(group).Known(group) }
+
+// Covers is Elector.Covers for the set of a group.
+func (sets *Sets) Covers(group string, term uint64) bool {
+	return sets.electorOf(group).Covers(group, term)
+}
+
+// RecordGroup is Elector.RecordGroup for the set of a group.
+func (sets *Sets) RecordGroup(group string, state GroupState) {
+	sets.electorOf(group).RecordGroup(group, state)
+}
+
+// ForgetGroup is Elector.ForgetGroup for all sets.
+func (sets *Sets) ForgetGroup(group string) {
+	sets.mu.Lock()
+	electors := sets.electors
+	sets.mu.Unlock()
+	for _, elector := range electors {
+		elector.ForgetGroup(group)
+	}
+}
+
 // RetainOrders is Elector.RetainOrders for all sets.
 func (sets *Sets) RetainOrders(exists func(group string) bool) {
 	sets.mu.Lock()
--- a/lease/issue.go
+++ b/lease/issue.go
@@ -114,13 +114,13 @@
 	return leases
 }
 
-// mayIssueTerm reports whether leases of a group's term may be issued: no order may still begin
-// a later term, and the leases of earlier terms have ended. agent.mu must be held.
+// mayIssueTerm reports whether leases of a group's term may be issued: it is recorded as the
+// newest, no order may still begin a later one, and the leases of earlier terms have ended. agent.mu must be held.
 func (agent *Agent) mayIssueTerm(issuer *issuer, group string, term uint64) bool {
 	if order, ok := agent.Leadership.Order(group); ok && !order.IsRepeated && order.Term > term {
 		return false
 	}
-	return !agent.hasEarlierLeases(issuer, group, term)
+	return agent.Leadership.Covers(group, term) && !agent.hasEarlierLeases(issuer, group, term)
 }
 
 // hasEarlierLeases reports whether leases of a group's earlier terms may be in force. Unless an
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,8 +11,9 @@
 //  9. Before a promotion, every VM has confirmed the revocation of its lease, or
 //     the latest possible expiry of that lease has passed. A VM that has just
 //     become the leader assumes that its predecessor issued leases until that moment.
-//     While an order may still take effect, no leases of an earlier term are issued, and
-//     those of a new term only once those of earlier terms have ended.
+//     Leases are issued for no term but the newest, as the leader's record has it. While an
+//     order may still take effect, no leases of an earlier term are issued, and those of a new
+//     term only once those of earlier terms have ended.
 package lease
 
 import (
@@ -84,6 +85,11 @@
 	PredecessorRenewedAt(set int) time.Time
 	// Order returns the order for a group that may still take effect, if this VM is the leader.
 	Order(group string) (leader.Order, bool)
+	// Covers reports whether the leader's record has a group's term as the newest, so that every
+	// later leader knows it.
+	Covers(group string, term uint64) bool
+	// Known returns the recorded state of a group; false if there is none.
+	Known(group string) (leader.GroupState, bool)
 	// GrantedAt returns an upper bound for the time at which the leader of another set may
 	// have acted on a group of this one; zero if there were no other sets.
 	GrantedAt(set int) time.Time
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -133,6 +133,8 @@
 	sets int
 	// order is the unsettled order of every group; zero is none.
 	order leader.Order
+	// known is the recorded state of every group.
+	known leader.GroupState
 }
 
 func (fakeLeadership *fakeLeadership) Count() int              { return max(fakeLeadership.sets, 1) }
@@ -145,6 +147,17 @@
 	return fakeLeadership.order, fakeLeadership.order != leader.Order{}
 }
 
+func (fakeLeadership *fakeLeadership) Known(string) (leader.GroupState, bool) {
+	fakeLeadership.mu.Lock()
+	defer fakeLeadership.mu.Unlock()
+	return fakeLeadership.known, fakeLeadership.known != leader.GroupState{}
+}
+
+func (fakeLeadership *fakeLeadership) Covers(_ string, term uint64) bool {
+	known, isKnown := fakeLeadership.Known("")
+	return !isKnown || known.Term == term
+}
+
 func (fakeLeadership *fakeLeadership) HoldsGroup(_ string, need time.Duration) (uint64, bool) {
 	return fakeLeadership.Holds(0, need)
 }
--- a/lease/proof.go
+++ b/lease/proof.go
@@ -38,6 +38,9 @@
 		if token, ok := agent.Leadership.HoldsGroup(group.Name, 0); !ok || token != received.Token || agent.isRevoked(group.Name) {
 			continue
 		}
+		if known, ok := agent.Leadership.Known(group.Name); ok && proven.Term < known.Term {
+			continue
+		}
 		group.AcceptProof(dbset.Proof{Term: proven.Term, Primary: proven.Primary, Start: proven.Start})
 	}
 }
--- a/promo/order.go
+++ b/promo/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +20,8 @@
 
 	errNotRecorded = errors.Wrap(ErrNotSent, "the leader's record could not be written in time")
 	errNotLeader   = errors.Wrap(ErrNotSent, "the leader lease was lost or expires too soon")
-	errNoEffect    = errors.New("the promoted database did not report itself as primary in time")
+	errNoEffect    = errors.New("the promoted database answers, but did not report itself as primary in time")
+	errNoReport    = errors.New("the promoted database did not answer in time; it may be the primary")
 )
 
 // mayTakeEffect reports whether an order may take effect later that failed with err.
@@ -61,10 +61,16 @@
 		Group: controller.Group.Name, Member: order.Member, Leader: controller.Leader, Token: token,
 	})
 	end()
+	acceptedAt := controller.Clock.Now()
 	switch {
 	case err == nil && controller.awaitPrimary(ctx, order, primaryTimeout):
 		controller.ineffective = ""
 		return nil
+	case err == nil && !controller.hasReported(order.Member, acceptedAt.Add(primaryTimeout/2)):
+		// It may have become the primary and then failed.
+		controller.hasUnanswered = true
+		controller.logOrder(event.OrderUnsettled, order, event.Fields{"reason": "noReport", "error": errNoReport.Error()})
+		return errNoReport
 	case err == nil:
 		// It may already be the primary in the platform's view.
 		controller.ineffective = order.Member
@@ -88,11 +94,9 @@
 		controller.settle()
 		return 0
 	}
-	isMember := slices.ContainsFunc(state.Members, func(member dbset.MemberState) bool { return member.ID == order.Member })
-	if !isMember && len(state.Members) > 0 && controller.IsSettled() {
-		controller.logOrder(event.OrderSettled, order, nil)
-		controller.settle()
-		return 0
+	if _, isMember := findMember(state, order.Member); !isMember {
+		// It may have become the primary before it went.
+		controller.reportWait(waitOrder, order.Term, order.Member)
 	}
 	if token, _ := controller.Leadership.Holds(0); controller.awaitedToken != token {
 		controller.awaitedToken = token
@@ -104,12 +108,25 @@
 	return controller.promoteOrLog(ctx, state, Unfinished, order.Member)
 }
 
-// settle records that the order has taken effect, or that its database is gone.
+// settle records that the order has taken effect, or can't any more. The term that it has begun is
+// recorded first, so that it is never missing from the record.
 func (controller *Controller) settle() {
+	if order, ok := controller.Leadership.Order(); ok {
+		if primary, ok := controller.newerPrimary(order.Term - 1); ok {
+			controller.Leadership.RecordGroup(leader.GroupState{Term: controller.Group.Term(), Primary: primary})
+		}
+	}
 	controller.Leadership.SettleOrder(controller.hasUnanswered || controller.wasRepeated)
 	controller.hasUnanswered, controller.wasRepeated = false, false
 }
 
+// hasReported reports whether a database has answered a request for a report that was sent at a
+// time or later.
+func (controller *Controller) hasReported(id string, since time.Time) bool {
+	member, ok := findMember(controller.Group.State(), id)
+	return ok && !member.ReportedAt.IsZero() && !member.RequestedAt.Before(since)
+}
+
 // abandon ends a promotion that has sent no order which may take effect. While an earlier order
 // may, the replicas stay sealed, so that no report of theirs stands in for a lease.
 func (controller *Controller) abandon(seals []sealedReplica) {
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -32,6 +32,7 @@
 	"github.com/bramleydoor/bramleydoor/event"
 	"github.com/bramleydoor/bramleydoor/leader"
 	"github.com/bramleydoor/bramleydoor/posn"
+	"github.com/bramleydoor/bramleydoor/stats"
 )
 
 // Order asks the platform to make a database the primary of its group.
@@ -65,6 +66,10 @@
 	SettleOrder(isRepeated bool)
 	// Order returns the order that may still take effect.
 	Order() (leader.Order, bool)
+	// Known returns the recorded state of the group; false if there is none.
+	Known() (leader.GroupState, bool)
+	// RecordGroup records the state of the group. Leases are issued once that is confirmed.
+	RecordGroup(state leader.GroupState)
 }
 
 // Leases revokes the primary leases of the VMs before a promotion.
@@ -152,10 +157,12 @@
 	Leader string
 	Clock  clock.Clock
 	Log    *event.Log
+	Stats  *stats.Stats
 	// IsSettled reports whether all running databases have been discovered. Until then a
 	// group does not count as one without a primary.
 	IsSettled func() bool
 
+	waits waits
 	// missingSince is when the group was first observed without a primary; zero if it has
 	// one.
 	missingSince time.Time
@@ -164,9 +171,11 @@
 	// awaitedToken is the fencing token under which the controller last sent an order, or
 	// waited for the order of a predecessor.
 	awaitedToken uint64
-	// token is the fencing token at the last check. hasUnanswered is set if the present order
-	// may have been sent in a call without an answer, wasRepeated if an earlier one was.
+	// token is the fencing token at the last check, tokenSince when it was new. hasUnanswered is
+	// set if the present order may have been sent in a call without an answer, wasRepeated if an
+	// earlier one was.
 	token                      uint64
+	tokenSince                 time.Time
 	hasUnanswered, wasRepeated bool
 	// ineffective is the database that the last order named, if that was accepted without
 	// effect.
@@ -201,14 +210,16 @@
 		return
 	}
 	order, ok := controller.Leadership.Order()
-	controller.token, controller.hasUnanswered, controller.wasRepeated = token, ok, ok && order.IsRepeated
+	controller.token, controller.tokenSince = token, controller.Clock.Now()
+	controller.hasUnanswered, controller.wasRepeated = ok, ok && order.IsRepeated
 }
 
 // step checks the group once, promotes a replica if needed, and returns the delay until
 // the next check.
 func (controller *Controller) step(ctx context.Context) time.Duration {
+	controller.waits.begin()
 	now := controller.Clock.Now()
-	state := controller.Group.State()
+	state := controller.stateInNewestTerm()
 	if state.Primary != "" || !controller.IsSettled() {
 		controller.missingSince = time.Time{}
 	} else if controller.missingSince.IsZero() {
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -44,6 +44,10 @@
 	}
 	revocation := controller.revoke(ctx)
 	defer revocation.end() // on any return; after a success leases resume earlier, below
+	if state.Primary == "" {
+		// A database that leads an earlier term can't be sealed.
+		controller.demoteFormer(state)
+	}
 	if revocation.await(controller.Clock.After(revocationLead)) {
 		// Replicas that are sealed now receive no more.
 		controller.awaitAcknowledged(state)
--- a/stats/latency.go
+++ b/stats/latency.go
@@ -55,14 +55,14 @@
 }
 
 // WriteText writes metrics as text, one per line: the counters of refusals, retries,
-// routes, replica acknowledgements, store calls and odd messages by name, the numbers of requests and of
+// routes, replica acknowledgements, store calls, odd messages and waits of promotions by name, the numbers of requests and of
 // refused messages of other VMs, the counters of the largest teams, and the count, p50, p99 and
 // maximum of each latency histogram in ms.
 func (stats *Stats) WriteText(writer io.Writer) error {
 	for _, counters := range []struct {
 		name   string
 		values *expvar.Map
-	}{{"refusals", &stats.Refusals}, {"retries", &stats.Retries}, {"routes", &stats.Routes}, {"receipts", &stats.ReplicaAcks}, {"storeCalls", &stats.StoreCalls}, {"oddMessages", &stats.OddMessages}} {
+	}{{"refusals", &stats.Refusals}, {"retries", &stats.Retries}, {"routes", &stats.Routes}, {"receipts", &stats.ReplicaAcks}, {"storeCalls", &stats.StoreCalls}, {"oddMessages", &stats.OddMessages}, {"promotionWaits", &stats.PromotionWaits}} {
 		counts := Counts(counters.values)
 		for _, name := range slices.Sorted(maps.Keys(counts)) {
 			if _, err := fmt.Fprintf(writer, "%s.%s %d\n", counters.name, name, counts[name]); err != nil {
--- a/stats/stats.go
+++ b/stats/stats.go
@@ -37,6 +37,8 @@
 	Requests expvar.Int
 	// Commits counts acknowledged transactions with writes.
 	Commits expvar.Int
+	// PromotionWaits counts the waits of promotions, and of the first leases of a term, by reason.
+	PromotionWaits expvar.Map
 	// Promotions counts promotions that were started by this VM.
 	Promotions expvar.Int
 	// TokensIgnored counts session tokens that failed verification.
@@ -69,6 +71,7 @@
 	all.Set("answers", &stats.Answers)
 	all.Set("storeCalls", &stats.StoreCalls)
 	all.Set("oddMessages", &stats.OddMessages)
+	all.Set("promotionWaits", &stats.PromotionWaits)
 	all.Set("sessions", &stats.Sessions)
 	all.Set("requests", &stats.Requests)
 	all.Set("commits", &stats.Commits)
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -234,3 +234,83 @@
 		})
 	}
 }
+
+// ONE: a former primary could not be demoted, its successor crashes, and the leader's process is
+// killed. The new process learned the newest term from the databases that answered, the former
+// primary and a replica that had received nothing, and issued leases for the former primary.
+func TestStartedLeaderKnowsTerm(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		withFailover(t, 0, 3*time.Millisecond, func(c *qt.C, fleet *fleet) {
+			replaced := fleet.leader()
+			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+			time.Sleep(500 * time.Millisecond)
+			fleet.upstream.Do("a", func(database *fakeup.Database) {
+				database.UnreachableFrom = map[string]bool{replaced.name: true, fleet.nonLeader().name: true}
+			})
+			for fleet.upstream.Primary() != "b" {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = true })
+			for _, testVM := range fleet.vms {
+				if all || testVM == replaced {
+					testVM.kill()
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, testVM := range fleet.vms {
+				if testVM.isKilled.Load() {
+					fleet.restart(testVM)
+				}
+			}
+			time.Sleep(time.Second)
+			fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = nil })
+			time.Sleep(5 * time.Second)
+			fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = false })
+			fleet.upstream.Rejoin("b")
+			c.Assert(fleet.nonLeader().writeGap() < failoverTarget, qt.IsTrue)
+		})
+	}
+}
+
+// ONE: a promoted database crashes before it has reported to a leader. The order counted as one
+// without effect, or, to processes that started then, as settled since its database had gone, and
+// the former primary was used again.
+func TestPromotedDatabaseFailsUnseen(t *testing.T) {
+	for _, allFail := range []bool{false, true} {
+		withFailover(t, 0, 3*time.Millisecond, func(c *qt.C, fleet *fleet) {
+			replaced := fleet.leader()
+			fleet.upstream.PromotionDuration = 610 * time.Millisecond // between two polls of the leader
+			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+			fleet.upstream.Do("a", func(database *fakeup.Database) {
+				database.UnreachableFrom = map[string]bool{replaced.name: true, fleet.nonLeader().name: true}
+			})
+			fleet.upstream.SetOnOrder(func(promo.Order) {
+				fleet.upstream.SetOnOrder(nil)
+				if allFail {
+					for _, testVM := range fleet.vms {
+						testVM.kill()
+					}
+				}
+			})
+			for fleet.upstream.Primary() != "b" {
+				time.Sleep(time.Millisecond)
+			}
+			fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = true })
+			fleet.tree.Remove(memberPrefix + "b")
+			fleet.upstream.Do("a", func(database *fakeup.Database) { database.UnreachableFrom = nil })
+			if allFail {
+				// The new processes reach only the former primary at first.
+				fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsUnresponsive = true })
+				for _, testVM := range fleet.vms {
+					fleet.restart(testVM)
+				}
+				time.Sleep(5 * time.Second)
+				fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsUnresponsive = false })
+			}
+			time.Sleep(8 * time.Second)
+			c.Assert(fleet.nonLeader().writeGap() < failoverTarget, qt.IsTrue)
+			c.Assert(fleet.upstream.Primary(), qt.Equals, "c")
+		})
+	}
+}
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -48,6 +48,7 @@
 		if _, ok := current.Upstreams[name]; !ok {
 			entry.stop()
 			vm.engine.Acks.Forget(entry.group)
+			vm.elector.ForgetGroup(name)
 			delete(vm.groups, name)
 		}
 	}
@@ -108,7 +109,7 @@
 	group.HasIdleConn = vm.pools.HasIdleOf
 	controller := &promo.Controller{
 		Group: group, Pools: vm.pools, Promoter: vm.Promoter, Leadership: groupLeadership{vm.elector.Sets, name}, Leases: vm.leases,
-		Leader: vm.Name, Clock: vm.Clock, Log: vm.Log,
+		Leader: vm.Name, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
 		IsSettled: func() bool { return vm.members.isSettled(vm.Clock.Now()) },
 	}
 	vm.groupTasks.Go(func() {
--- a/vmrun/history_test.go
+++ b/vmrun/history_test.go
@@ -142,11 +142,18 @@
 	return violations
 }
 
-// isRolledBack reports whether the log of the next term lacks a commit.
+// isRolledBack reports whether the log of a later term lacks a commit. A term that begins with an
+// entry of a term in between has what that began with.
 func isRolledBack(committed posn.Position, terms []fakeup.Term) bool {
+	starts := make(map[uint64]posn.Position)
 	for _, term := range terms {
-		if term.Number > committed.Term {
-			return !term.Start.AtLeast(committed)
+		start := term.Start
+		for start.Term > committed.Term {
+			start = starts[start.Term]
+		}
+		starts[term.Number] = start
+		if term.Number > committed.Term && !start.AtLeast(committed) {
+			return true
 		}
 	}
 	return false
--- a/vmrun/sets.go
+++ b/vmrun/sets.go
@@ -82,6 +82,16 @@
 	return groupLeadership.Sets.Order(groupLeadership.group)
 }
 
+// Known returns the recorded state of the group; false if there is none.
+func (groupLeadership groupLeadership) Known() (leader.GroupState, bool) {
+	return groupLeadership.Sets.Known(groupLeadership.group)
+}
+
+// RecordGroup records the state of the group.
+func (groupLeadership groupLeadership) RecordGroup(state leader.GroupState) {
+	groupLeadership.Sets.RecordGroup(groupLeadership.group, state)
+}
+
 // BeginOrder registers an order for the group.
 func (groupLeadership groupLeadership) BeginOrder(need time.Duration) (token uint64, end func(), ok bool) {
 	return groupLeadership.Sets.BeginOrder(groupLeadership.group, need)
