promo, leader: the databases that may have acknowledged commits are recorded

Cause: "all replicas are sealed" was asked of the registered databases. Once the registration of the replica that had the commits had expired, a deaf one counted as all, though the VMs had stated more than it had.

Evidence: TestCommitsOfExpiredReplica fails on in three forms (expired; expired and still receiving; the entry names another service), and TestReplicaStartedEmpty in one (started again without its log).

Change: the leader's record has the databases of a synchronous group that may have received an acknowledged commit, before the first lease. A promotion needs all of them but the primary sealed, or the primary itself, and seals again after the last lease has ended. A database leaves the record only if it has stopped for certain and another one has what it can have received. A promotion that waits says for whom (3014 "seals", counter promotionWaits.seals); operators can declare a database lost (bramley/lost/ID, 3015). The order is recorded after the check. This replaces State.Required, which only the leader's process knew.

Why it works: a commit is acknowledged by the primary and one other recorded database, and the sealed set has the whole log of one of each such pair.

--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -84,6 +84,8 @@
 	// registration states it.
 	Slots   int
 	Leaving bool
+	// HasEnded is set if the registration has ended. The database may still run.
+	HasEnded bool
 	// SaysPrimary is set if the database registered itself as the primary.
 	SaysPrimary bool
 	// Born is the database's start time in Unix ms.
@@ -160,10 +162,9 @@
 	leasedTerm uint64
 	// acknowledged is the result of Acknowledged.
 	acknowledged posn.Position
-	// formerMembers is the position that State.Required covers for former members. It is
-	// outdated if a replica has left at replicaLeftAt and the primary was not observed since.
-	formerMembers posn.Position
-	replicaLeftAt time.Time
+	// primaryPosition is State.PrimaryPosition, primaryPositionAt when it was requested.
+	primaryPosition   posn.Position
+	primaryPositionAt time.Time
 	// gap is the last period without a lease.
 	gap gap
 	// leaderObservedAt is the result of LeaderObservedAt.
@@ -217,11 +218,6 @@
 		members[registered.ID] = current
 		group.order = append(group.order, registered.ID)
 	}
-	for id, former := range group.members {
-		if _, ok := members[id]; !ok && id != group.primary && !former.reportedAt.IsZero() {
-			group.replicaLeftAt = now
-		}
-	}
 	group.members = members
 	if _, ok := members[group.primary]; !ok {
 		group.primary = ""
@@ -283,13 +279,14 @@
 		}
 		group.setPrimary(report.Term, id)
 	case report.Term == group.term && group.primary == id:
-		group.coverFormerMembers(report.Received, requestedAt)
+		group.recordPrimaryPosition(report.Received, requestedAt)
 		group.addObservation(report.Received, requestedAt)
 	}
 }
 
 // setPrimary sets the term and its primary.
 func (group *Group) setPrimary(term uint64, id string) {
+	group.primaryPosition, group.primaryPositionAt = posn.Position{}, time.Time{}
 	group.term, group.primary, group.lastPrimary = term, id, id
 	group.notifyChange()
 }
@@ -383,7 +380,7 @@
 	if !position.IsZero() {
 		member.received, member.applied = posn.Max(member.received, position), posn.Max(member.applied, position)
 		if member.ID == group.primary {
-			group.coverFormerMembers(position, requestedAt)
+			group.recordPrimaryPosition(position, requestedAt)
 			group.addObservation(position, requestedAt)
 		} else {
 			member.estimateLag(group.observations, now)
--- a/dbset/received.go
+++ b/dbset/received.go
@@ -30,21 +30,23 @@
 	return newest
 }
 
-// coverFormerMembers records an observation of the primary's log. It covers what former members
-// had received if it was requested after the last one had left.
-func (group *Group) coverFormerMembers(position posn.Position, requestedAt time.Time) {
-	if !group.replicaLeftAt.IsZero() && requestedAt.After(group.replicaLeftAt) {
-		group.formerMembers, group.replicaLeftAt = position, time.Time{}
+// recordPrimaryPosition records a position of the primary that was requested at a time.
+func (group *Group) recordPrimaryPosition(position posn.Position, requestedAt time.Time) {
+	if requestedAt.After(group.primaryPositionAt) {
+		group.primaryPosition, group.primaryPositionAt = position, requestedAt
 	}
 }
 
-// required returns State.Required. Once the primary has left too, nobody can be asked.
-func (group *Group) required() (posn.Position, bool) {
-	position := group.termStart
-	if group.formerMembers.Term == group.term {
-		position = posn.Max(position, group.formerMembers)
+// SynchronousMembers returns the registered databases if the group acknowledges a commit only once
+// a replica has received it; nil otherwise.
+func (group *Group) SynchronousMembers() []Member {
+	group.mu.Lock()
+	isSynchronous := group.isSynchronous
+	group.mu.Unlock()
+	if !isSynchronous {
+		return nil
 	}
-	return position, group.replicaLeftAt.IsZero() || group.primary == ""
+	return group.Members()
 }
 
 // LastAnswerAt returns when a database last answered, or when it became a member if it has
--- a/dbset/state.go
+++ b/dbset/state.go
@@ -14,11 +14,10 @@
 	Primary string
 	// LastPrimary is the last known primary of the term, also after it was demoted.
 	LastPrimary string
-	// Required is a position that covers every commit which no present member but the primary
-	// may have received: those of earlier terms, and those of replicas that have left. It is
-	// outdated unless IsRequiredKnown is set.
-	Required        posn.Position
-	IsRequiredKnown bool
+	// PrimaryPosition is the last known end of the primary's log, requested at
+	// PrimaryPositionAt; zero if none is known.
+	PrimaryPosition   posn.Position
+	PrimaryPositionAt time.Time
 	// IsSynchronous is set if a commit is acknowledged only once a replica has received it.
 	IsSynchronous bool
 	Members       []MemberState
@@ -31,6 +30,8 @@
 	ReportedAt time.Time
 	// RequestedAt is when the report was requested.
 	RequestedAt time.Time
+	// Received is the latest position that the database is known to have received.
+	Received posn.Position
 	// FailingSince is the time of the first consecutive failure; zero if the last
 	// request was answered.
 	FailingSince time.Time
@@ -47,12 +48,14 @@
 func (group *Group) State() State {
 	group.mu.Lock()
 	defer group.mu.Unlock()
-	state := State{Term: group.term, Primary: group.primary, LastPrimary: group.lastPrimary, IsSynchronous: group.isSynchronous}
-	state.Required, state.IsRequiredKnown = group.required()
+	state := State{
+		Term: group.term, Primary: group.primary, LastPrimary: group.lastPrimary, IsSynchronous: group.isSynchronous,
+		PrimaryPosition: group.primaryPosition, PrimaryPositionAt: group.primaryPositionAt,
+	}
 	for _, id := range group.order {
 		member := group.members[id]
 		state.Members = append(state.Members, MemberState{
-			Member: member.Member, Report: member.report, ReportedAt: member.reportedAt, RequestedAt: member.requestedAt,
+			Member: member.Member, Report: member.report, ReportedAt: member.reportedAt, RequestedAt: member.requestedAt, Received: member.received,
 			FailingSince: member.failingSince, Failures: member.failures, RefusedConnections: member.refusedConnections, LastAnswerAt: member.lastAnswerAt,
 			IsAbsent: !member.absentUntil.IsZero(),
 		})
--- a/event/event.go
+++ b/event/event.go
@@ -50,6 +50,7 @@
 	OrderUnsettled      ID = 3012
 	OrderSettled        ID = 3013
 	PromotionWaits      ID = 3014
+	DatabaseGivenUp     ID = 3015
 	ConfigApplied       ID = 4001
 	ConfigRefused       ID = 4002
 	StoreFailing        ID = 4003
@@ -113,7 +114,8 @@
 	{GroupState, logrus.InfoLevel, "State of a group", "This VM's view of a group. Slots gives role/latency/under way/failures/lag of each database: latency and lag in ms, requests in progress, and consecutive failures. Links gives open/idle/limit/waiting of each database: open and idle connections, the limit of concurrent requests, and queued requests. Routes counts the reads so far by routing reason.", []string{"group", "term", "slots", "links", "routes"}, "0.2"},
 	{OrderUnsettled, logrus.WarnLevel, "Order unsettled", "The outcome of an order to promote a database (slot) is unknown, so it may still take effect, and the group has no leases until it has. The leader sends it again; reason is noAnswer, noReport if the platform accepted the order but the database has not answered since, or predecessor if a former leader sent it. Check the platform's failover service if this lasts.", []string{"group", "term", "slot", "reason", "error"}, "0.2"},
 	{OrderSettled, logrus.InfoLevel, "Order settled", "An unsettled order has taken effect: a database leads the term that it begins, or a later one.", []string{"group", "term", "slot", "primary"}, "0.2"},
-	{PromotionWaits, logrus.WarnLevel, "Promotion waits", "The leader of a group waits before it promotes a database, or issues the first leases of a term; slots are the databases that it waits for. The reason is also the name of a counter (promotionWaits): reports if no record says which term is the newest, so that every registered database has to answer; order if the outcome of an order is unknown and its database is no longer registered, so that another one has to be promoted. OPERATIONS.md says what to do if this lasts.", []string{"group", "term", "reason", "slots"}, "0.6"},
+	{PromotionWaits, logrus.WarnLevel, "Promotion waits", "The leader of a group waits before it promotes a database, or issues the first leases of a term; slots are the databases that it waits for. The reason is also the name of a counter (promotionWaits): reports if no record says which term is the newest, so that every registered database has to answer; seals if replication is synchronous and these databases may have acknowledged commits that no sealed one has; order if the outcome of an order is unknown and its database is no longer registered, so that another one has to be promoted. OPERATIONS.md says what to do if this lasts.", []string{"group", "term", "reason", "slots"}, "0.6"},
+	{DatabaseGivenUp, logrus.ErrorLevel, "Database given up", "A promotion goes without a database (slot) that operators have declared lost. Acknowledged commits that only it and the former primary had are gone.", []string{"group", "slot"}, "0.6"},
 	{ConfigApplied, logrus.InfoLevel, "Configuration in force", "A ticket was applied on this VM.", []string{"number", "ticket"}, "0.1"},
 	{ConfigRefused, logrus.ErrorLevel, "Configuration refused", "A ticket in the store can't be applied; the VM keeps the previous configuration. Submit a ticket that corrects it.", []string{"number", "error"}, "0.1"},
 	{StoreFailing, logrus.WarnLevel, "Store failing", "Calls to the platform's store fail. Everything but the acceptance of tickets continues to work.", []string{"error"}, "0.1"},
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -31,6 +31,8 @@
 // requests, within Upstream.Do.
 type Database struct {
 	ID string
+	// Born is the time of the database's start in Unix ms.
+	Born int64
 	// IsUnresponsive makes the database unresponsive: connections and requests time out.
 	// IsDown makes it refuse connections and fail requests at once.
 	IsUnresponsive, IsDown bool
@@ -177,7 +179,7 @@
 	for _, id := range slices.Sorted(maps.Keys(upstream.databases)) {
 		members = append(members, dbset.Member{
 			ID: id, Group: upstream.Name, Address: id, Zone: "zone-" + id, Slots: 3,
-			SaysPrimary: id == upstream.primary,
+			SaysPrimary: id == upstream.primary, Born: upstream.databases[id].Born,
 		})
 	}
 	return members
--- a/fakeup/group.go
+++ b/fakeup/group.go
@@ -142,6 +142,22 @@
 	upstream.replicate()
 }
 
+// StartEmpty makes a database that is down run again under its ID, without its log. Its registration
+// has another start time.
+func (upstream *Upstream) StartEmpty(id string) {
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	database := upstream.databases[id]
+	database.Born++
+	database.IsDown, database.leads = false, false
+	database.term, database.sealedTerm = 0, 0
+	database.log = []logEntry{{}}
+	if upstream.primary == id {
+		upstream.primary = ""
+	}
+	upstream.replicate()
+}
+
 // Delay sets the time until the platform acts on an order, and answers. It acts also if the
 // caller has given up by then.
 func (upstream *Upstream) Delay(delay time.Duration) {
--- a/leader/group.go
+++ b/leader/group.go
@@ -5,9 +5,38 @@
 // GroupState is what leaders know of a group that has to outlast all VMs. It is in the leader's
 // record, since the databases that know it may be down when the next leader starts.
 type GroupState struct {
-	// Term is the newest term that a leader has found, Primary its primary.
-	Term    uint64 `json:"term"`
-	Primary string `json:"primary,omitempty"`
+	// Term is the newest term that a leader has found.
+	Term uint64 `json:"term"`
+	// Primary is the term's primary, where replication is synchronous.
+	Primary Database `json:"primary,omitzero"`
+	// Databases has those that may have received a commit which was acknowledged, where a commit
+	// is acknowledged once a replica has received it. It has all that were registered, until
+	// others are known to have what they received. It is empty where replication is asynchronous.
+	Databases []Database `json:"databases,omitempty"`
+}
+
+// Database is a database from its start until its process has lost its log.
+type Database struct {
+	ID string `json:"id"`
+	// Born is the database's start time in Unix ms.
+	Born int64 `json:"born"`
+	// IsLeaving is set if it has announced that it ends.
+	IsLeaving bool `json:"isLeaving,omitempty"`
+}
+
+// Is reports whether both are the same database.
+func (database Database) Is(other Database) bool {
+	return database.ID == other.ID && database.Born == other.Born
+}
+
+// Has reports whether the database is one of the state's Databases.
+func (state GroupState) Has(database Database) bool {
+	return slices.ContainsFunc(state.Databases, database.Is)
+}
+
+// Equal reports whether two states are the same.
+func (state GroupState) Equal(other GroupState) bool {
+	return state.Term == other.Term && state.Primary == other.Primary && slices.Equal(state.Databases, other.Databases)
 }
 
 // Known returns the state of a group by the records that this VM has read or written as the
@@ -20,22 +49,25 @@
 	return state, ok
 }
 
-// Covers reports whether leases of a group's term may be issued: the record has the term, and
-// no newer one is known.
-func (elector *Elector) Covers(group string, term uint64) bool {
+// Covers reports whether leases of a group's term may be issued: the record has the term and
+// the given databases, and no newer term is known.
+func (elector *Elector) Covers(group string, term uint64, databases []Database) bool {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
 	known, isKnown := elector.groups[group]
+	recorded := elector.confirmed.Groups[group]
+	if slices.ContainsFunc(databases, func(database Database) bool { return !recorded.Has(database) }) {
+		return false
+	}
 	// An order is recorded before it can begin its term.
-	recorded := max(elector.confirmed.Groups[group].Term, elector.confirmed.Orders[group].Term)
-	return isKnown && known.Term <= term && term <= recorded
+	return isKnown && known.Term <= term && term <= max(recorded.Term, elector.confirmed.Orders[group].Term)
 }
 
 // RecordGroup sets the state of a group, and makes Run write it into the record.
 func (elector *Elector) RecordGroup(group string, state GroupState) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
-	if known, ok := elector.groups[group]; ok && (known == state || known.Term > state.Term) {
+	if known, ok := elector.groups[group]; ok && (known.Equal(state) || known.Term > state.Term) {
 		return
 	}
 	elector.groups[group] = state
--- a/leader/group_test.go
+++ b/leader/group_test.go
@@ -13,8 +13,8 @@
 	"github.com/bramleydoor/bramleydoor/leader"
 )
 
-// ONE: a leader that starts knows the newest term that any leader has found, also once the order
-// that began it is settled: after a release, after an expiry, and as a new process of the same VM.
+// ONE, LOST: a leader that starts knows the newest term that any leader has found, also once the
+// order that began it is settled, and the databases that may have acknowledged commits: after a release, after an expiry, and as a new process of the same VM.
 func TestTermOfPredecessor(t *testing.T) {
 	for name, test := range map[string]struct {
 		vm   string
@@ -34,9 +34,11 @@
 				c.Assert(isKnown, qt.IsFalse)
 				order := leader.Order{Member: "b", Term: 4}
 				c.Assert(first.RecordOrder(ctx, "ledger", order), qt.IsTrue)
-				first.RecordGroup("ledger", leader.GroupState{Term: 4, Primary: "b"})
+				databases := []leader.Database{{ID: "a", Born: 7}, {ID: "b", Born: 8, IsLeaving: true}}
+				state := leader.GroupState{Term: 4, Primary: leader.Database{ID: "b", Born: 8}, Databases: databases}
+				first.RecordGroup("ledger", state)
 				first.SettleOrder("ledger", false)
-				c.Assert(first.Covers("ledger", 4), qt.IsTrue)
+				c.Assert(first.Covers("ledger", 4, nil), qt.IsTrue)
 				time.Sleep(2 * time.Second)
 				if test.kill {
 					kill()
@@ -47,10 +49,11 @@
 				time.Sleep(10 * time.Second)
 				known, isKnown := second.Known("ledger")
 				c.Assert(isKnown, qt.IsTrue)
-				c.Assert(known, qt.Equals, leader.GroupState{Term: 4, Primary: "b"})
-				c.Assert(second.Covers("ledger", 3), qt.IsFalse)
-				c.Assert(second.Covers("ledger", 4), qt.IsTrue)
-				c.Assert(second.Covers("ledger", 5), qt.IsFalse)
+				c.Assert(known, qt.DeepEquals, state)
+				c.Assert(second.Covers("ledger", 3, nil), qt.IsFalse)
+				c.Assert(second.Covers("ledger", 4, databases), qt.IsTrue)
+				c.Assert(second.Covers("ledger", 4, []leader.Database{{ID: "a", Born: 8}}), qt.IsFalse)
+				c.Assert(second.Covers("ledger", 5, nil), qt.IsFalse)
 			})
 		})
 	}
@@ -66,13 +69,13 @@
 		defer startElector(elector)()
 		time.Sleep(time.Second)
 		tree.SetDown(true)
-		elector.RecordGroup("ledger", leader.GroupState{Term: 3, Primary: "a"})
+		elector.RecordGroup("ledger", leader.GroupState{Term: 3, Primary: leader.Database{ID: "a"}})
 		time.Sleep(200 * time.Millisecond)
-		c.Assert(elector.Covers("ledger", 3), qt.IsFalse)
+		c.Assert(elector.Covers("ledger", 3, nil), qt.IsFalse)
 		tree.SetDown(false)
 		time.Sleep(leader.TTL / 5)
-		c.Assert(elector.Covers("ledger", 3), qt.IsTrue)
-		elector.RecordGroup("ledger", leader.GroupState{Term: 2, Primary: "b"})
+		c.Assert(elector.Covers("ledger", 3, nil), qt.IsTrue)
+		elector.RecordGroup("ledger", leader.GroupState{Term: 2, Primary: leader.Database{ID: "b"}})
 		known, _ := elector.Known("ledger")
 		c.Assert(known.Term, qt.Equals, uint64(3))
 	})
@@ -98,7 +101,7 @@
 		time.Sleep(time.Second)
 		order := leader.Order{Member: "b", Term: 4}
 		c.Assert(first.RecordOrder(t.Context(), "ledger", order), qt.IsTrue)
-		first.RecordGroup("books", leader.GroupState{Term: 3, Primary: "a"})
+		first.RecordGroup("books", leader.GroupState{Term: 3, Primary: leader.Database{ID: "a"}})
 		time.Sleep(time.Second)
 		stop()
 
@@ -117,7 +120,7 @@
 		time.Sleep(time.Second)
 		_, isKnown := second.Known("books")
 		c.Assert(isKnown, qt.IsFalse)
-		c.Assert(second.Covers("books", 3), qt.IsFalse)
+		c.Assert(second.Covers("books", 3, nil), qt.IsFalse)
 		inherited, _ := second.Order("ledger")
 		c.Assert(inherited, qt.Equals, order)
 	})
@@ -142,7 +145,7 @@
 		}
 		order := leader.Order{Member: "b", Term: 9, IsRepeated: true}
 		c.Assert(leading.RecordOrder(t.Context(), group, order), qt.IsTrue)
-		leading.RecordGroup(group, leader.GroupState{Term: 9, Primary: "b"})
+		leading.RecordGroup(group, leader.GroupState{Term: 9, Primary: leader.Database{ID: "b"}})
 		time.Sleep(2 * time.Second)
 		for _, vm := range []*setsVM{one, two} {
 			vm.SetCount(sets)
@@ -152,8 +155,8 @@
 		for _, vm := range []*setsVM{one, two} {
 			if _, ok := vm.HoldsGroup(group, 0); ok {
 				leaders++
-				c.Assert(vm.Covers(group, 8), qt.IsFalse)
-				c.Assert(vm.Covers(group, 9), qt.IsTrue)
+				c.Assert(vm.Covers(group, 8, nil), qt.IsFalse)
+				c.Assert(vm.Covers(group, 9, nil), qt.IsTrue)
 			}
 		}
 		c.Assert(leaders, qt.Equals, 1)
--- a/leader/sets.go
+++ b/leader/sets.go
@@ -166,8 +166,8 @@
 func (sets *Sets) Known(group string) (GroupState, bool) { return sets.electorOf(group).Known(group) }
 
 // Covers is Elector.Covers for the set of a group.
-func (sets *Sets) Covers(group string, term uint64) bool {
-	return sets.electorOf(group).Covers(group, term)
+func (sets *Sets) Covers(group string, term uint64, databases []Database) bool {
+	return sets.electorOf(group).Covers(group, term, databases)
 }
 
 // RecordGroup is Elector.RecordGroup for the set of a group.
--- a/lease/issue.go
+++ b/lease/issue.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		lease, ok := group.CurrentLease(now)
-		if !ok || !agent.mayIssueTerm(issuer, group.Name, lease.Term) {
+		if !ok || !agent.mayIssueTerm(issuer, group, lease.Term) {
 			continue
 		}
 		issuer.terms[group.Name] = lease.Term
@@ -115,12 +115,17 @@
 }
 
 // mayIssueTerm reports whether leases of a group's term may be issued: it is recorded as the
-// newest, no order may still begin a later one, and the leases of earlier terms have ended. agent.mu must be held.
-func (agent *Agent) mayIssueTerm(issuer *issuer, group string, term uint64) bool {
-	if order, ok := agent.Leadership.Order(group); ok && !order.IsRepeated && order.Term > term {
+// newest, with the databases that may receive commits, no order may still begin a later one, and
+// the leases of earlier terms have ended. agent.mu must be held.
+func (agent *Agent) mayIssueTerm(issuer *issuer, group *dbset.Group, term uint64) bool {
+	if order, ok := agent.Leadership.Order(group.Name); ok && !order.IsRepeated && order.Term > term {
 		return false
 	}
-	return agent.Leadership.Covers(group, term) && !agent.hasEarlierLeases(issuer, group, term)
+	var databases []leader.Database
+	for _, member := range group.SynchronousMembers() {
+		databases = append(databases, leader.Database{ID: member.ID, Born: member.Born})
+	}
+	return agent.Leadership.Covers(group.Name, term, databases) && !agent.hasEarlierLeases(issuer, group.Name, term)
 }
 
 // hasEarlierLeases reports whether leases of a group's earlier terms may be in force. Unless an
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -85,9 +85,9 @@
 	PredecessorRenewedAt(set int) time.Time
 	// Order returns the order for a group that may still take effect, if this VM is the leader.
 	Order(group string) (leader.Order, bool)
-	// Covers reports whether the leader's record has a group's term as the newest, so that every
-	// later leader knows it.
-	Covers(group string, term uint64) bool
+	// Covers reports whether the leader's record has a group's term as the newest, and the given
+	// databases, so that every later leader knows them.
+	Covers(group string, term uint64, databases []leader.Database) bool
 	// Known returns the recorded state of a group; false if there is none.
 	Known(group string) (leader.GroupState, bool)
 	// GrantedAt returns an upper bound for the time at which the leader of another set may
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -150,10 +150,10 @@
 func (fakeLeadership *fakeLeadership) Known(string) (leader.GroupState, bool) {
 	fakeLeadership.mu.Lock()
 	defer fakeLeadership.mu.Unlock()
-	return fakeLeadership.known, fakeLeadership.known != leader.GroupState{}
+	return fakeLeadership.known, fakeLeadership.known.Term > 0
 }
 
-func (fakeLeadership *fakeLeadership) Covers(_ string, term uint64) bool {
+func (fakeLeadership *fakeLeadership) Covers(_ string, term uint64, _ []leader.Database) bool {
 	known, isKnown := fakeLeadership.Known("")
 	return !isKnown || known.Term == term
 }
--- a/promo/order.go
+++ b/promo/order.go
@@ -112,8 +112,8 @@
 // recorded first, so that it is never missing from the record.
 func (controller *Controller) settle() {
 	if order, ok := controller.Leadership.Order(); ok {
-		if primary, ok := controller.newerPrimary(order.Term - 1); ok {
-			controller.Leadership.RecordGroup(leader.GroupState{Term: controller.Group.Term(), Primary: primary})
+		if _, ok := controller.newerPrimary(order.Term - 1); ok {
+			controller.recordState(controller.Group.State())
 		}
 	}
 	controller.Leadership.SettleOrder(controller.hasUnanswered || controller.wasRepeated)
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -8,7 +8,8 @@
 //     acknowledged commit that any of them received is kept. A replica known to be
 //     ahead of all sealed ones is retried for a limited time. Where replication is
 //     synchronous, a database is promoted only if it certainly has all acknowledged
-//     commits: it has received what all VMs state, or all replicas are sealed.
+//     commits: it has received what all VMs state, or all databases that the leader's
+//     record names are sealed, also those that are no longer registered.
 //  9. A promotion is ordered only while the VM holds the leader lease, with
 //     its fencing token, and after the order is in the leader's record. An order
 //     may take effect at any time after it was sent, also if its call failed: until
@@ -158,11 +159,15 @@
 	Clock  clock.Clock
 	Log    *event.Log
 	Stats  *stats.Stats
+	// IsLost reports whether operators have declared a database lost, so that a promotion may go
+	// without the commits that only it has; nil if none is.
+	IsLost func(id string) bool
 	// IsSettled reports whether all running databases have been discovered. Until then a
 	// group does not count as one without a primary.
 	IsSettled func() bool
 
-	waits waits
+	waits   waits
+	holders holders
 	// missingSince is when the group was first observed without a primary; zero if it has
 	// one.
 	missingSince time.Time
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +43,10 @@
 		// The leaving primary accepts no write that its successor lacks.
 		controller.demote(state, term)
 	}
+	if cause == Unfinished && state.IsSynchronous {
+		// The order's database may be gone, and the primary the only one with all commits.
+		controller.demote(state, term)
+	}
 	revocation := controller.revoke(ctx)
 	defer revocation.end() // on any return; after a success leases resume earlier, below
 	if state.Primary == "" {
@@ -63,19 +68,19 @@
 		controller.abandon(seals)
 		return errNoCandidate
 	}
-	order := leader.Order{Member: best.member.ID, Term: term}
-	isRecorded := controller.record(ctx, order)
-	revocation.await(nil)
 	if state.IsSynchronous {
-		if err := controller.checkComplete(best, seals); err != nil {
-			<-isRecorded
-			controller.abandon(seals)
+		// Until the last lease has ended, a replica that is started again loses its seal and may
+		// receive commits that are acknowledged.
+		controller.awaitRevocation(ctx, revocation, sealedAt)
+		again := controller.seal(state, term, nil)
+		if err := controller.checkComplete(best, seals, again); err != nil {
+			controller.abandon(append(again, seals...))
 			return err
 		}
 	}
-	if !revocation.areAllRevoked {
-		controller.awaitEvidenceExpiry(ctx, sealedAt)
-	}
+	order := leader.Order{Member: best.member.ID, Term: term}
+	isRecorded := controller.record(ctx, order)
+	controller.awaitRevocation(ctx, revocation, sealedAt)
 	orderedAt := controller.Clock.Now()
 	if err := controller.send(ctx, order, <-isRecorded); err != nil {
 		if !mayTakeEffect(err) {
@@ -148,28 +153,65 @@
 	}
 }
 
-// checkComplete returns errBehind unless a sealed replica certainly has all commits that VMs have
-// acknowledged, where the primary acknowledges none that only it has: either the VMs state how
-// far they have acknowledged, or all replicas are sealed, so that none of them has more.
-func (controller *Controller) checkComplete(best sealedReplica, seals []sealedReplica) error {
+// checkComplete returns errBehind unless the best of the sealed replicas certainly has all commits
+// that were acknowledged, where the primary acknowledges none that only it has. It must have been
+// sealed before the leases ended, and have what those have that are sealed now. They must meet each
+// pair of primary and replica by which a commit may have been acknowledged, unless VMs state how far
+// they have acknowledged.
+func (controller *Controller) checkComplete(best sealedReplica, before, seals []sealedReplica) error {
 	state := controller.Group.State()
-	if best.report.Term < state.Term || !state.IsRequiredKnown || !best.report.Received.AtLeast(state.Required) {
-		return errors.Wrapf(errBehind, "%s has received %s in term %d, required is %s in term %d, known: %t",
-			best.member.ID, best.report.Received, best.report.Term, state.Required, state.Term, state.IsRequiredKnown)
+	if best.report.Term < state.Term {
+		return errors.Wrapf(errBehind, "%s has received %s in term %d, and the group is in term %d",
+			best.member.ID, best.report.Received, best.report.Term, state.Term)
 	}
-	acknowledged, ok := controller.Leases.Acknowledged(controller.Group.Name)
-	if ok && best.report.Received.AtLeast(acknowledged) {
+	if !isSealed(before, best.member.ID) || !isSealed(seals, best.member.ID) {
+		return errors.Wrapf(errBehind, "%s is not sealed any more", best.member.ID)
+	}
+	if ahead, ok := mostAdvanced(seals); ok && !best.report.Received.AtLeast(ahead.report.Received) {
+		return errors.Wrapf(errBehind, "%s has received %s, and %s has received %s",
+			best.member.ID, best.report.Received, ahead.member.ID, ahead.report.Received)
+	}
+	if acknowledged, ok := controller.Leases.Acknowledged(controller.Group.Name); ok && best.report.Received.AtLeast(acknowledged) {
 		return nil
 	}
-	for _, member := range state.Members {
-		if member.ID != state.LastPrimary && !member.IsAbsent && !isSealed(seals, member.ID) {
-			return errors.Wrapf(errBehind, "%s has received %s, acknowledged is %s (known: %t), and %s is not sealed",
-				best.member.ID, best.report.Received, acknowledged, ok, member.ID)
-		}
+	if unmet := controller.unmet(state, seals); len(unmet) > 0 {
+		controller.reportWait(waitSeals, state.Term+1, unmet)
+		return errors.Wrapf(errBehind, "%s may have acknowledged commits, and is not sealed", unmet)
 	}
 	return nil
 }
 
+// unmet names the databases that may have an acknowledged commit which no sealed replica has. While
+// an order is unsettled, commits may have been acknowledged in its term as well.
+func (controller *Controller) unmet(state dbset.State, seals []sealedReplica) string {
+	known, _ := controller.Leadership.Known()
+	if len(known.Databases) == 0 {
+		// A leader that records databases has issued no lease.
+		last, _ := findMember(state, state.LastPrimary)
+		known = leader.GroupState{Term: state.Term, Primary: databaseOf(last.Member)}
+	}
+	databases := unmet(known, known.Primary, known.Term, state.Members, seals)
+	if order, ok := controller.Leadership.Order(); ok && order.Term > known.Term {
+		ordered := leader.Database{ID: order.Member}
+		for _, database := range known.Databases {
+			if database.ID == order.Member {
+				ordered = database
+			}
+		}
+		databases = append(databases, unmet(known, ordered, order.Term, state.Members, seals)...)
+	}
+	names := make([]string, 0, len(databases))
+	for _, database := range databases {
+		if _, isRegistered := findMember(state, database.ID); !isRegistered && controller.IsLost != nil && controller.IsLost(database.ID) {
+			controller.Log.Write(event.DatabaseGivenUp, event.Fields{"group": controller.Group.Name, "slot": database.ID})
+			continue
+		}
+		names = append(names, database.ID)
+	}
+	slices.Sort(names)
+	return strings.Join(slices.Compact(names), " ")
+}
+
 // demote makes the former primary a replica if it is reachable, and waits up to
 // catchUpTimeout until a replica has received all of its log.
 func (controller *Controller) demote(state dbset.State, term uint64) {
@@ -291,11 +333,13 @@
 	return seals
 }
 
-// forEachReplica calls f concurrently for all members except the primary.
+// forEachReplica calls f concurrently for all members except the primary. Where replication is
+// synchronous, a primary that was demoted is a replica that has all commits.
 func (controller *Controller) forEachReplica(state dbset.State, f func(dbset.MemberState)) {
 	var pending sync.WaitGroup
 	for _, member := range state.Members {
-		if member.ID == state.Primary {
+		isFormer := state.IsSynchronous && controller.Group.State().Primary == ""
+		if member.ID == state.Primary && !isFormer {
 			continue
 		}
 		pending.Go(func() { f(member) })
@@ -358,6 +402,13 @@
 	return best, found
 }
 
+// awaitRevocation waits until the leases have ended, and the evidence from before the seals.
+func (controller *Controller) awaitRevocation(ctx context.Context, revocation *revocation, sealedAt time.Time) {
+	if !revocation.await(nil) {
+		controller.awaitEvidenceExpiry(ctx, sealedAt)
+	}
+}
+
 // awaitEvidenceExpiry waits until no VM uses a replica's report from before the seals in
 // place of a lease any more, or until ctx ends.
 func (controller *Controller) awaitEvidenceExpiry(ctx context.Context, sealedAt time.Time) {
--- a/promo/record.go
+++ b/promo/record.go
@@ -23,7 +23,7 @@
 		}
 		state = controller.Group.State()
 	}
-	if state.Primary == "" || isKnown && known.Term == state.Term && known.Primary == state.Primary {
+	if state.Primary == "" {
 		return state
 	}
 	if missing := controller.unheard(state); !isKnown && len(missing) > 0 {
@@ -32,10 +32,23 @@
 		controller.requestReports(missing)
 		return state
 	}
-	controller.Leadership.RecordGroup(leader.GroupState{Term: state.Term, Primary: state.Primary})
+	controller.recordState(state)
 	return state
 }
 
+// recordState records the group's term and, where replication is synchronous, the databases that may
+// have acknowledged commits.
+func (controller *Controller) recordState(state dbset.State) {
+	found := leader.GroupState{Term: state.Term}
+	if state.IsSynchronous {
+		known, _ := controller.Leadership.Known()
+		primary, _ := findMember(state, state.Primary)
+		found.Primary = leader.Database{ID: primary.ID, Born: primary.Born}
+		found.Databases = controller.holders.next(known.Databases, state, controller.Clock.Now())
+	}
+	controller.Leadership.RecordGroup(found)
+}
+
 // unheard returns the databases that have answered no request for a report that was sent since this
 // VM has become the leader.
 func (controller *Controller) unheard(state dbset.State) []string {
--- a/promo/wait.go
+++ b/promo/wait.go
@@ -12,6 +12,9 @@
 	// waitReports: no leader has recorded the group's newest term, and not all databases have
 	// reported theirs.
 	waitReports waitReason = "reports"
+	// waitSeals: replication is synchronous, and databases are not sealed that may have commits
+	// which no sealed one has.
+	waitSeals waitReason = "seals"
 	// waitOrder: an order is unsettled whose database is no longer registered.
 	waitOrder waitReason = "order"
 )
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -1,6 +1,7 @@
 package vmrun_test
 
 import (
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -314,3 +315,80 @@
 		})
 	}
 }
+
+// LOST: one replica receives nothing, so another one has all acknowledged commits. That and the
+// primary crash, and the deaf replica was promoted once the other was not registered any more: its
+// registration has expired, also while it runs on without the store, or names another service.
+func TestCommitsOfExpiredReplica(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		isAlive, isMoved bool
+	}{{name: "expired"}, {name: "alive", isAlive: true}, {name: "otherService", isMoved: true}} {
+		t.Run(test.name, func(t *testing.T) {
+			withFailover(t, 1, 20*time.Millisecond, func(c *qt.C, fleet *fleet) {
+				fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+				time.Sleep(500 * time.Millisecond)
+				lose := func(id string) {
+					member := fleet.upstream.Members()[strings.Index("abc", id)]
+					if member.Group = "books"; test.isMoved && id == "b" {
+						fleet.register(member)
+					} else {
+						fleet.tree.Remove(memberPrefix + id)
+					}
+				}
+				if test.isAlive {
+					lose("b")
+					for _, isDeaf := range []bool{true, false, true} {
+						fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = isDeaf })
+						time.Sleep(4 * time.Second)
+					}
+				}
+				for _, id := range []string{"a", "b"} {
+					fleet.upstream.Do(id, func(database *fakeup.Database) { database.IsDown = true })
+				}
+				time.Sleep(3600 * time.Millisecond)
+				fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = false })
+				lose("a")
+				lose("b")
+				time.Sleep(5 * time.Second)
+				c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+				for _, id := range []string{"a", "b"} {
+					fleet.upstream.Do(id, func(database *fakeup.Database) { database.IsDown = false })
+				}
+				fleet.registerAll()
+				c.Assert(fleet.nonLeader().writeGap() < failoverTarget, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// LOST: the replica that has all acknowledged commits is started again without its log while the
+// primary is down, and the deaf replica was promoted. While the primary runs, the replica gets the
+// log again, and is promoted later.
+func TestReplicaStartedEmpty(t *testing.T) {
+	for _, hasPrimary := range []bool{false, true} {
+		withFailover(t, 1, 20*time.Millisecond, func(c *qt.C, fleet *fleet) {
+			setDown := func(id string, isDown bool) {
+				fleet.upstream.Do(id, func(database *fakeup.Database) { database.IsDown = isDown })
+			}
+			fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+			time.Sleep(500 * time.Millisecond)
+			setDown("b", true)
+			setDown("a", !hasPrimary)
+			fleet.upstream.StartEmpty("b")
+			fleet.registerAll()
+			if hasPrimary {
+				time.Sleep(5 * time.Second)
+				setDown("a", true)
+				time.Sleep(5 * time.Second)
+				c.Assert(fleet.upstream.Primary(), qt.Equals, "b")
+				fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = false })
+			} else {
+				time.Sleep(5 * time.Second)
+				c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+				setDown("a", false)
+			}
+			c.Assert(fleet.nonLeader().writeGap() < failoverTarget, qt.IsTrue)
+		})
+	}
+}
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -71,9 +71,11 @@
 	// connections closed.
 	sweepInterval = pollInterval
 	// ownPrefix is the prefix of all records of bramleydoor in the store, vmPrefix that of
-	// the VMs' records. A read of the former is one call as well.
-	ownPrefix = "bramley/"
-	vmPrefix  = ownPrefix + "vms/"
+	// the VMs' records. A read of the former is one call as well. lostPrefix is that of the
+	// operators' entries, by the IDs of databases that are lost; the values don't matter.
+	ownPrefix  = "bramley/"
+	vmPrefix   = ownPrefix + "vms/"
+	lostPrefix = ownPrefix + "lost/"
 )
 
 // follow reads a prefix and then watches its changes, until ctx ends. It logs when
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -110,6 +110,7 @@
 	controller := &promo.Controller{
 		Group: group, Pools: vm.pools, Promoter: vm.Promoter, Leadership: groupLeadership{vm.elector.Sets, name}, Leases: vm.leases,
 		Leader: vm.Name, Clock: vm.Clock, Log: vm.Log, Stats: vm.Stats,
+		IsLost:    vm.vmList.isLost,
 		IsSettled: func() bool { return vm.members.isSettled(vm.Clock.Now()) },
 	}
 	vm.groupTasks.Go(func() {
--- a/vmrun/members.go
+++ b/vmrun/members.go
@@ -137,10 +137,10 @@
 // to changed then. members.mu must be held.
 func (members *members) markLeaving(key string, now time.Time, changed groupNames) {
 	registration := members.byKey[key]
-	if registration.member.Leaving || registration.endedAt.IsZero() || registration.endedAt.After(now) {
+	if registration.member.HasEnded || registration.endedAt.IsZero() || registration.endedAt.After(now) {
 		return
 	}
-	registration.member.Leaving = true
+	registration.member.Leaving, registration.member.HasEnded = true, true
 	members.byKey[key] = registration
 	changed[registration.member.Group] = true
 }
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -20,6 +20,8 @@
 type vmList struct {
 	mu      sync.Mutex
 	records map[string]observedRecord
+	// lost has the databases that operators have declared lost.
+	lost map[string]bool
 	// ranks has the VMs of an availability zone in the order in which they route a group,
 	// as far as they were asked for since the records or the configuration changed.
 	ranks map[zoneGroup][]string
@@ -155,6 +157,13 @@
 	vmList.isSettled = vmList.isSettled || isFresh || vmList.wasListed && isListed
 }
 
+// isLost reports whether operators have declared a database lost.
+func (vmList *vmList) isLost(id string) bool {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	return vmList.lost[id]
+}
+
 // settled reports whether the list can tell the size of the fleet. A VM that starts together
 // with others would else take the fleet for a small one, in which every VM needs all groups.
 func (vmList *vmList) settled() bool {
@@ -185,7 +194,14 @@
 	vmList.mu.Lock()
 	defer vmList.mu.Unlock()
 	next := make(map[string]observedRecord, len(items))
+	vmList.lost = nil
 	for _, item := range items {
+		if id, ok := strings.CutPrefix(item.Key, lostPrefix); ok {
+			if vmList.lost == nil {
+				vmList.lost = make(map[string]bool)
+			}
+			vmList.lost[id] = true
+		}
 		if !strings.HasPrefix(item.Key, vmPrefix) {
 			continue
 		}
