lease, promo, vmrun: a new leader waits for leases that it can't know

Cause: the VMs that have to confirm a revocation were those of the list in the store and those that had asked this leader. A VM that has just joined, or was started again, is in neither, though it has a lease of the predecessor.

Evidence: TestLeaseOfJoinedVM fails in 5 of 8 cases on (joined and restarted VM, by the age of the others' list), TestLeaseOfUnknownVM and the widened TestRevocationProperty fail there too.

Change: a revocation lasts until all leases of other leaders have ended, at most 2.05 s after the takeover and 0.45 s after that of an expired record. A primary that still serves is not replaced in that time (3014 "holders"). The list of VMs that may use evidence is read from the store for a revocation; without an answer the promotion waits for the evidence to end, as for a VM that is gone. A stale copy does not replace a newer list.

Why it works: a lease ends 2 s after it was requested, whoever has it, and a VM uses evidence only 5 s after its record is in the store.

TestRevoke began 1 s after the leader's start and asked for 0.1 s; it begins after the leases of the leader before now, with the same bound.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -10,7 +10,8 @@
 //     the VM does.
 //  9. Before a promotion, every VM has confirmed the revocation of its lease, or
 //     the latest possible expiry of that lease has passed. A VM that has just
-//     become the leader assumes that its predecessor issued leases until that moment.
+//     become the leader assumes that its predecessor issued leases until that moment, also to
+//     VMs that no list names.
 //     Leases are issued for no term but the newest, as the leader's record has it. While an
 //     order may still take effect, no leases of an earlier term are issued, and those of a new
 //     term only once those of earlier terms have ended.
@@ -115,8 +116,10 @@
 	Group  func(name string) *dbset.Group
 	Needed func() []*dbset.Group
 	Peers  func() []string
-	// HasAllPeers reports whether Peers has all VMs that may have a lease; nil means that it has.
-	HasAllPeers func() bool
+	// HasAllPeers reports whether Peers has all VMs that may use evidence in place of a lease,
+	// RefreshPeers reads them from the store if it has not. With nil it has.
+	HasAllPeers  func() bool
+	RefreshPeers func(ctx context.Context)
 	// Evidence returns how long any of the peers uses a replica's report in place of a lease;
 	// nil stands for dbset.EvidenceDuration.
 	Evidence func() time.Duration
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -399,6 +399,7 @@
 // the primary between Revoke and Resume.
 func TestRevoke(t *testing.T) {
 	runThreeVMs(t, func(c *qt.C, _ *network, nodes []*node) {
+		time.Sleep(dbset.LeaseDuration) // the leases of the leader before
 		start := time.Now()
 		c.Assert(nodes[0].agent.Revoke(context.Background(), "ledger"), qt.IsTrue)
 		c.Assert(time.Since(start) < 100*time.Millisecond, qt.IsTrue)
--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -91,11 +91,12 @@
 // returns true once every VM has acknowledged that may have a lease or, since the leader
 // knows of it, may use evidence. VMs that don't need the group are among these: one may
 // begin to need it at any time, and acknowledging makes it ignore the evidence of replicas
-// that the leader could not seal. While this VM may not know all others, those that it doesn't
-// know may have leases of the previous leader, until these have expired. Revoke returns false
+// that the leader could not seal. No list has all VMs to which another leader may have issued
+// leases, so Revoke waits until these have expired. It returns false
 // once the leases of the VMs that have not acknowledged have expired, but not before
-// EvidenceDuration, for which the caller has to wait then anyway. It also returns false if ctx
-// ends before that, or if this VM is not the leader.
+// EvidenceDuration, for which the caller has to wait then anyway, or if this VM can't learn which
+// VMs may use evidence. It also returns false if ctx ends before that, or if this VM is not the
+// leader.
 func (agent *Agent) Revoke(ctx context.Context, group string) bool {
 	token, ok := agent.Leadership.HoldsGroup(group, 0)
 	if !ok {
@@ -113,19 +114,21 @@
 		Kind: kindRevoke, From: agent.VM, Seq: revocation.seq, Token: token,
 		Groups: []groupState{{Group: group}},
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	refreshed := agent.refreshPeers(ctx)
 	sent := make(map[string]attempts)
 	for {
 		unacked, foreignExpiry := agent.unacked(set, token, group, revocation)
-		hasAllPeers := agent.HasAllPeers == nil || agent.HasAllPeers()
 		now, deadline := agent.Clock.Now(), began.Add(agent.EvidenceDuration())
-		if len(unacked) == 0 && (hasAllPeers || !now.Before(foreignExpiry)) {
+		if len(unacked) == 0 && !now.Before(foreignExpiry) && agent.hasAllPeers() {
 			agent.endLeases(set, token, group)
 			agent.mu.Lock()
-			revocation.isComplete = hasAllPeers
+			revocation.isComplete = true
 			agent.mu.Unlock()
-			return hasAllPeers
+			return true
 		}
-		if !hasAllPeers && foreignExpiry.After(deadline) {
+		if foreignExpiry.After(deadline) {
 			deadline = foreignExpiry
 		}
 		if len(unacked) > 0 && unacked[0].expiresAt.After(deadline) {
@@ -136,6 +139,9 @@
 			return false
 		}
 		nextAt := deadline
+		if foreignExpiry.After(now) {
+			nextAt = foreignExpiry
+		}
 		for _, unackedVM := range unacked {
 			vmAttempts, wasSent := sent[unackedVM.vm]
 			if !wasSent || !vmAttempts.nextAt.After(now) {
@@ -151,11 +157,41 @@
 		case <-ctx.Done():
 			return false
 		case <-revocation.allAcked:
+		case <-refreshed:
+			refreshed = nil
 		case <-agent.Clock.After(nextAt.Sub(now)):
 		}
 	}
 }
 
+// refreshPeers makes Peers complete, unless it is. The channel is closed at the end.
+func (agent *Agent) refreshPeers(ctx context.Context) <-chan struct{} {
+	refreshed := make(chan struct{})
+	if agent.hasAllPeers() || agent.RefreshPeers == nil {
+		return refreshed
+	}
+	go func() {
+		defer close(refreshed)
+		agent.RefreshPeers(ctx)
+	}()
+	return refreshed
+}
+
+func (agent *Agent) hasAllPeers() bool { return agent.HasAllPeers == nil || agent.HasAllPeers() }
+
+// UnknownHoldersUntil returns until when VMs that this VM doesn't know may have leases of a group
+// from another leader; a promotion waits for that.
+func (agent *Agent) UnknownHoldersUntil(group string) time.Time {
+	token, ok := agent.Leadership.HoldsGroup(group, 0)
+	if !ok {
+		return time.Time{}
+	}
+	set := leader.SetOf(group, agent.Leadership.Count())
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	return agent.foreignExpiry(set, agent.issuerOf(set, token, agent.Clock.Now()))
+}
+
 // endLeases records that no lease of a group is in force.
 func (agent *Agent) endLeases(set int, token uint64, group string) {
 	agent.mu.Lock()
@@ -209,7 +245,7 @@
 	defer agent.mu.Unlock()
 	now := agent.Clock.Now()
 	issuer := agent.issuerOf(set, token, now)
-	foreignExpiry = agent.lastForeignIssue(set, issuer).Add(dbset.LeaseDuration + clockMargin)
+	foreignExpiry = agent.foreignExpiry(set, issuer)
 	revocation.waiting = make(map[string]struct{}, len(peers))
 	add := func(vm string, isListed bool) {
 		if _, isKnown := revocation.waiting[vm]; isKnown || revocation.acked[vm] {
@@ -235,6 +271,12 @@
 	return unacked, foreignExpiry
 }
 
+// foreignExpiry returns the latest expiry of a lease that the previous leader, or the leader of
+// another set, may have issued. agent.mu must be held.
+func (agent *Agent) foreignExpiry(set int, issuer *issuer) time.Time {
+	return agent.lastForeignIssue(set, issuer).Add(dbset.LeaseDuration + clockMargin)
+}
+
 // lastForeignIssue returns the latest time at which the previous leader, or the leader of
 // another set, may have issued a lease. agent.mu must be held.
 func (agent *Agent) lastForeignIssue(set int, issuer *issuer) time.Time {
--- a/lease/revoke_test.go
+++ b/lease/revoke_test.go
@@ -62,7 +62,10 @@
 	// takeover is how long before the revocation another VM became the leader; 0 if none
 	// did.
 	takeover time.Duration
-	delay    time.Duration
+	// isListOld is set if the leader's list may lack VMs that may use evidence, canRefresh if it
+	// gets them from the store then.
+	isListOld, canRefresh bool
+	delay                 time.Duration
 }
 
 type revocationVM struct {
@@ -78,7 +81,9 @@
 	ms := func(low, high int, label string) time.Duration {
 		return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
 	}
-	scenario := revocationScenario{delay: ms(0, 30, "delay")}
+	scenario := revocationScenario{
+		delay: ms(0, 30, "delay"), isListOld: rapid.Bool().Draw(t, "old list"), canRefresh: rapid.Bool().Draw(t, "refresh"),
+	}
 	for range rapid.IntRange(2, 6).Draw(t, "VMs") {
 		vm := revocationVM{
 			needs: rapid.Bool().Draw(t, "needs"), isListed: rapid.IntRange(0, 3).Draw(t, "listed") > 0, isolatedFor: -1,
@@ -91,10 +96,6 @@
 	}
 	if rapid.Bool().Draw(t, "takeover") {
 		scenario.takeover = ms(1, 2500, "takeoverAt")
-		// A new leader knows of the leases of its predecessor only by its list of VMs.
-		for i := range scenario.vms {
-			scenario.vms[i].isListed = true
-		}
 	}
 	return scenario
 }
@@ -103,7 +104,7 @@
 // leader could not seal still gives evidence to all VMs, and though VMs begin to need the
 // group that didn't before. When it returns false, no VM has a lease of a leader, and once
 // evidence from before the seals has expired none uses the primary either. VMs that the
-// leader's list lacks may not use evidence.
+// leader's list lacks may have leases of another leader, and use evidence if the list is old.
 func TestRevocationProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		scenario := drawScenario(rt)
@@ -138,7 +139,14 @@
 		if scenario.vms[i].needs || i == 0 {
 			node.setNeeded(node.group)
 		}
-		node.group.AllowEvidence(scenario.vms[i].isListed)
+		node.group.AllowEvidence(scenario.vms[i].isListed || scenario.isListOld)
+		node.agent.HasAllPeers = func() bool { return !scenario.isListOld || len(node.listPeers()) == len(names) }
+		node.agent.RefreshPeers = func(context.Context) {
+			time.Sleep(scenario.delay)
+			if scenario.canRefresh {
+				node.setPeers(names)
+			}
+		}
 		nodes = append(nodes, node)
 		running.Go(func() { _ = node.agent.Run(ctx) })
 	}
@@ -270,3 +278,21 @@
 		c.Assert(nodes[1].primary(), qt.Equals, "b")
 	})
 }
+
+// STALE: a leader that has just taken over by a planned stop does not know a VM that has joined, and
+// has a lease of its predecessor. The revocation waits until that has ended, and no longer.
+func TestLeaseOfUnknownVM(t *testing.T) {
+	runThreeVMs(t, func(c *qt.C, _ *network, nodes []*node) {
+		nodes[1].setPeers([]string{"vm1@10.0.0.1", "vm2@10.0.0.2"})
+		for _, node := range nodes[:2] {
+			node.leadership.set(nodes[1].leadership.vm, 2)
+		}
+		nodes[1].reportPrimary(1, "a")
+		began := time.Now()
+		c.Assert(nodes[1].agent.UnknownHoldersUntil("ledger").After(began), qt.IsTrue)
+		c.Assert(nodes[1].agent.Revoke(context.Background(), "ledger"), qt.IsTrue)
+		c.Assert(nodes[2].primary(), qt.Equals, "")
+		c.Assert(time.Since(began) <= dbset.LeaseDuration+100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+		c.Assert(nodes[1].agent.UnknownHoldersUntil("ledger").After(time.Now()), qt.IsFalse)
+	})
+}
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -79,6 +79,9 @@
 	// VMs have confirmed that. It returns false once the leases of the other VMs have
 	// expired, if ctx ends before that, or if this VM is not the leader.
 	Revoke(ctx context.Context, group string) bool
+	// UnknownHoldersUntil returns until when unknown VMs may have leases of another leader. Revoke
+	// waits for that.
+	UnknownHoldersUntil(group string) time.Time
 	// Acknowledged returns a position that covers all commits that VMs have acknowledged to
 	// callers; false unless Revoke has returned true and all VMs state it.
 	Acknowledged(group string) (posn.Position, bool)
@@ -248,6 +251,13 @@
 		controller.demoteFormer(state)
 		return checkInterval
 	}
+	if until := controller.Leases.UnknownHoldersUntil(controller.Group.Name); until.After(now) {
+		controller.reportWait(waitHolders, state.Term+1, "")
+		if cause == Leaving || cause == Partitioned {
+			// The primary serves meanwhile.
+			return min(until.Sub(now), checkInterval)
+		}
+	}
 	return controller.promoteOrLog(ctx, state, cause, "")
 }
 
--- a/promo/wait.go
+++ b/promo/wait.go
@@ -12,6 +12,8 @@
 	// waitReports: no leader has recorded the group's newest term, and not all databases have
 	// reported theirs.
 	waitReports waitReason = "reports"
+	// waitHolders: VMs that the new leader doesn't know may have leases of its predecessor.
+	waitHolders waitReason = "holders"
 	// waitSeals: replication is synchronous, and databases are not sealed that may have commits
 	// which no sealed one has.
 	waitSeals waitReason = "seals"
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -1,6 +1,7 @@
 package vmrun_test
 
 import (
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -392,3 +393,56 @@
 		})
 	}
 }
+
+// STALE: a VM joins, or is started again, and gets a lease. The leader stops as planned before the
+// others have read that VM's record, and its successor promoted another database without revoking
+// that lease. The cases differ in the time since the others have read the list of VMs.
+func TestLeaseOfJoinedVM(t *testing.T) {
+	for _, joins := range []bool{true, false} {
+		for since := range 4 {
+			t.Run(fmt.Sprintf("joins=%t/%ds", joins, since), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					checkLeaseOfJoinedVM(qt.New(t), joins, time.Duration(since)*time.Second)
+				})
+			})
+		}
+	}
+}
+
+func checkLeaseOfJoinedVM(c *qt.C, joins bool, since time.Duration) {
+	fleet := startFleetOf(3, 0)
+	defer fleet.close()
+	restarted := fleet.nonLeader()
+	if !joins {
+		restarted.stop()
+		<-restarted.done
+	}
+	time.Sleep(5*time.Second + since)
+	stopped := fleet.leader()
+	var reading *testVM
+	if joins {
+		reading = fleet.start()
+	} else {
+		reading = fleet.restart(restarted)
+	}
+	history := fleet.newHistory()
+	for _, called := range fleet.vms {
+		vm := func() *testVM { return called }
+		history.call(vm, false, 2*time.Millisecond)
+		if called != reading && called != stopped {
+			history.call(vm, true, 3*time.Millisecond)
+		}
+	}
+	time.Sleep(700 * time.Millisecond)
+	stopped.stop()
+	time.Sleep(100 * time.Millisecond)
+	leaving := fleet.upstream.Members()[0]
+	leaving.Leaving = true
+	fleet.register(leaving)
+	time.Sleep(8 * time.Second)
+	violations := history.end()
+	c.Assert(violations, qt.HasLen, 0, qt.Commentf("the first of %d: %s", len(violations), append(violations, "")[0]))
+	c.Assert(fleet.upstream.Terms(), qt.HasLen, 1)
+	c.Assert(reading.try(proto.Read{}, "READ x"), qt.Equals, proto.OK)
+	c.Assert(reading.writeGap() < time.Second, qt.IsTrue)
+}
--- a/vmrun/follow.go
+++ b/vmrun/follow.go
@@ -60,6 +60,10 @@
 	// vmRecordPropagation is how long a VM's first record must exist before the VM
 	// may use evidence: leaders have read the record by then.
 	vmRecordPropagation = vmListInterval + time.Second
+	// vmListCompleteFor is how long after a read of the store's present state a leader knows all VMs
+	// that may use evidence. It leaves time for the rest of a revocation, and for clocks that run at
+	// different rates.
+	vmListCompleteFor = vmRecordPropagation / 2
 	// endedMemberRetention is how long a database whose registration ended is kept
 	// as leaving.
 	endedMemberRetention = 3 * time.Second
--- a/vmrun/vmrun.go
+++ b/vmrun/vmrun.go
@@ -90,9 +90,11 @@
 	leases  *lease.Agent
 	members members
 	vmList  vmList
-	peers   *remote.Clients
-	auth    *authn.Authenticator
-	quota   *teamQuota
+	// refreshing is held while the list of VMs is read for a revocation.
+	refreshing sync.Mutex
+	peers      *remote.Clients
+	auth       *authn.Authenticator
+	quota      *teamQuota
 
 	configFeed, memberFeed *feed
 
@@ -188,7 +190,8 @@
 		Conn: vm.PeerConn, VM: vm.id(), Port: vm.PeerPort, Auth: vm.auth, Leadership: vm.elector.Sets, Clock: vm.Clock, Log: vm.Log,
 		Group: vm.findGroup, Needed: vm.neededGroups, Peers: vm.vmList.names, StoreState: vm.storeStateOf, OnStoreState: vm.receiveStoreState,
 	}
-	vm.leases.Evidence, vm.leases.HasAllPeers = vm.vmList.evidenceDuration, vm.vmList.settled
+	vm.leases.Evidence, vm.leases.HasAllPeers = vm.vmList.evidenceDuration, func() bool { return vm.vmList.isComplete(vm.Clock.Now()) }
+	vm.leases.RefreshPeers = vm.refreshVMList
 	vm.leases.IdleInterval, vm.leases.NeedsFirstSet = vm.idleInterval, vm.hasTeams
 	vm.elector.LastMessageAt, vm.elector.MessageInterval = vm.leases.LastAnswerAt, vm.leases.Interval
 	vm.elector.lastAnswerAt = vm.leases.LastAnswerAt
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -39,6 +39,10 @@
 	// wasListed is set if an earlier process had written it.
 	joinedAt  time.Time
 	wasListed bool
+	// revision is that of the store by the last read.
+	revision uint64
+	// freshAt is when the last read of the list that was not of a stale copy was sent.
+	freshAt time.Time
 	// isSettled is set once the list can tell the size of the fleet.
 	isSettled bool
 }
@@ -157,6 +161,14 @@
 	vmList.isSettled = vmList.isSettled || isFresh || vmList.wasListed && isListed
 }
 
+// isComplete reports whether the list has all VMs that may use evidence: one whose record was
+// written later may not do so yet.
+func (vmList *vmList) isComplete(now time.Time) bool {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	return !vmList.freshAt.IsZero() && now.Sub(vmList.freshAt) < vmListCompleteFor
+}
+
 // isLost reports whether operators have declared a database lost.
 func (vmList *vmList) isLost(id string) bool {
 	vmList.mu.Lock()
@@ -188,11 +200,32 @@
 	vmList.leaderCount, vmList.leaderCountAt = count, now
 }
 
+// updateAt is update by a read at a revision of the store, which was sent at readAt. It does nothing
+// and returns false if the list is newer: it would lack VMs again.
+func (vmList *vmList) updateAt(items []store.Item, revision uint64, isFresh bool, readAt, now time.Time) bool {
+	vmList.mu.Lock()
+	defer vmList.mu.Unlock()
+	if revision < vmList.revision {
+		return false
+	}
+	vmList.revision = revision
+	if isFresh && readAt.After(vmList.freshAt) {
+		vmList.freshAt = readAt
+	}
+	vmList.updateLocked(items, now)
+	return true
+}
+
 // update replaces the list by the records among the items read, without the VMs that have
 // left or whose record has expired.
 func (vmList *vmList) update(items []store.Item, now time.Time) {
 	vmList.mu.Lock()
 	defer vmList.mu.Unlock()
+	vmList.updateLocked(items, now)
+}
+
+// updateLocked is update for callers that hold vmList.mu.
+func (vmList *vmList) updateLocked(items []store.Item, now time.Time) {
 	next := make(map[string]observedRecord, len(items))
 	vmList.lost = nil
 	for _, item := range items {
@@ -249,13 +282,8 @@
 				nextWrite = now.Add(vmRecordInterval)
 			}
 		}
-		isFresh := vm.vmList.needsFreshRead(vm.Clock.Now())
-		if items, _, err := vm.Store.Range(ctx, ownPrefix, !isFresh); err == nil {
-			vm.installPeerKeys(items)
-			vm.vmList.update(items, vm.Clock.Now())
-			vm.vmList.settle(vm.id(), isFresh)
-			vm.retainRouters()
-		}
+		// A read that fails is repeated with the next one.
+		_ = vm.readVMList(ctx, vm.vmList.needsFreshRead(vm.Clock.Now()))
 		wait := vmListInterval
 		if !vm.vmList.settled() {
 			wait, interval = interval, min(2*interval, vmListInterval)
@@ -268,6 +296,35 @@
 	}
 }
 
+// readVMList reads the records of all VMs: as the store has them now, or from a copy that may be
+// seconds old.
+func (vm *VM) readVMList(ctx context.Context, isFresh bool) error {
+	readAt := vm.Clock.Now()
+	items, revision, err := vm.Store.Range(ctx, ownPrefix, !isFresh)
+	if err != nil {
+		return err
+	}
+	vm.installPeerKeys(items)
+	if !vm.vmList.updateAt(items, revision, isFresh, readAt, vm.Clock.Now()) {
+		return nil
+	}
+	vm.vmList.settle(vm.id(), isFresh)
+	vm.retainRouters()
+	return nil
+}
+
+// refreshVMList makes the list complete, or logs why it can't.
+func (vm *VM) refreshVMList(ctx context.Context) {
+	vm.refreshing.Lock()
+	defer vm.refreshing.Unlock()
+	if vm.vmList.isComplete(vm.Clock.Now()) {
+		return
+	}
+	if err := vm.readVMList(ctx, true); err != nil && ctx.Err() == nil {
+		vm.Log.Write(event.StoreFailing, event.Fields{"prefix": ownPrefix, "error": err.Error()})
+	}
+}
+
 // markLeft marks the VM's record as left, so that other VMs stop counting it at
 // once.
 func (vm *VM) markLeft(revision uint64) error {
