promo: what VMs state of their acknowledgements proves nothing

Cause: a promotion took the VMs' statements for complete. A process that has ended states nothing, and its silence counted as "nothing acknowledged".

Evidence: TestCommitsOfEndedVM fails on for a VM that left, one that was killed and started again, and all of them (3 of 3 cases).

Change: promo.checkComplete asks for seals that meet every pair of primary and replica by which a commit may have been acknowledged, whatever VMs state.

Why it works: which databases those are is in the leader's record, which no VM's end makes smaller.

--- a/promo/promo.go
+++ b/promo/promo.go
@@ -8,8 +8,8 @@
 //     acknowledged commit that any of them received is kept. A replica known to be
 //     ahead of all sealed ones is retried for a limited time. Where replication is
 //     synchronous, a database is promoted only if it certainly has all acknowledged
-//     commits: it has received what all VMs state, or all databases that the leader's
-//     record names are sealed, also those that are no longer registered.
+//     commits: all databases that the leader's record names are sealed, also those that
+//     are no longer registered, or the primary is. No VM's word replaces that.
 //  9. A promotion is ordered only while the VM holds the leader lease, with
 //     its fencing token, and after the order is in the leader's record. An order
 //     may take effect at any time after it was sent, also if its call failed: until
@@ -82,8 +82,9 @@
 	// UnknownHoldersUntil returns until when unknown VMs may have leases of another leader. Revoke
 	// waits for that.
 	UnknownHoldersUntil(group string) time.Time
-	// Acknowledged returns a position that covers all commits that VMs have acknowledged to
-	// callers; false unless Revoke has returned true and all VMs state it.
+	// Acknowledged returns a position that covers all commits that the present processes of the
+	// VMs have acknowledged to callers; false unless Revoke has returned true and all VMs state
+	// it. Others may have ended since they acknowledged more.
 	Acknowledged(group string) (posn.Position, bool)
 	// Resume allows leases to be issued again.
 	Resume(group string)
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -156,8 +156,8 @@
 // checkComplete returns errBehind unless the best of the sealed replicas certainly has all commits
 // that were acknowledged, where the primary acknowledges none that only it has. It must have been
 // sealed before the leases ended, and have what those have that are sealed now. They must meet each
-// pair of primary and replica by which a commit may have been acknowledged, unless VMs state how far
-// they have acknowledged.
+// pair of primary and replica by which a commit may have been acknowledged. What the VMs state
+// proves nothing: one that has ended states no more what it had acknowledged.
 func (controller *Controller) checkComplete(best sealedReplica, before, seals []sealedReplica) error {
 	state := controller.Group.State()
 	if best.report.Term < state.Term {
@@ -171,9 +171,6 @@
 		return errors.Wrapf(errBehind, "%s has received %s, and %s has received %s",
 			best.member.ID, best.report.Received, ahead.member.ID, ahead.report.Received)
 	}
-	if acknowledged, ok := controller.Leases.Acknowledged(controller.Group.Name); ok && best.report.Received.AtLeast(acknowledged) {
-		return nil
-	}
 	if unmet := controller.unmet(state, seals); len(unmet) > 0 {
 		controller.reportWait(waitSeals, state.Term+1, unmet)
 		return errors.Wrapf(errBehind, "%s may have acknowledged commits, and is not sealed", unmet)
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -446,3 +446,70 @@
 	c.Assert(reading.try(proto.Read{}, "READ x"), qt.Equals, proto.OK)
 	c.Assert(reading.writeGap() < time.Second, qt.IsTrue)
 }
+
+// LOST: the VMs that have acknowledged commits have left, or were killed and started again, and state
+// nothing when the primary and the only replica that receives crash. The silence counted as a proof
+// that nothing was acknowledged, and the deaf replica was promoted.
+func TestCommitsOfEndedVM(t *testing.T) {
+	for name, end := range map[string]func(fleet *fleet, writing *testVM){
+		"left": func(_ *fleet, writing *testVM) {
+			writing.stop()
+			<-writing.done
+		},
+		"killed": func(fleet *fleet, writing *testVM) {
+			writing.kill()
+			fleet.restart(writing)
+		},
+		"allKilled": func(fleet *fleet, _ *testVM) {
+			for _, killed := range fleet.vms {
+				killed.kill()
+				fleet.restart(killed)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				fleet := startFleetOf(3, 1)
+				defer fleet.close()
+				fleet.upstream.Do("c", func(database *fakeup.Database) { database.IsReplicationStopped = true })
+				writing := fleet.nonLeader()
+				history := fleet.newHistory()
+				history.call(func() *testVM { return writing }, true, 10*time.Millisecond)
+				time.Sleep(800 * time.Millisecond)
+				c.Assert(history.end(), qt.HasLen, 0)
+				end(fleet, writing)
+				for _, id := range []string{"a", "b"} {
+					fleet.upstream.Do(id, func(database *fakeup.Database) { database.IsDown = true })
+				}
+				time.Sleep(9 * time.Second)
+				c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+				fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = false })
+				time.Sleep(5 * time.Second)
+				c.Assert(history.lost(fleet.upstream.Terms()), qt.HasLen, 0)
+				c.Assert(fleet.upstream.Primary(), qt.Equals, "b")
+			})
+		})
+	}
+}
+
+// A database that is lost for good, and may have acknowledged commits, holds a promotion up until
+// operators declare it lost.
+func TestLostDatabaseIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fleet := startFleetOf(3, 1)
+		defer fleet.close()
+		for _, id := range []string{"a", "b"} {
+			fleet.upstream.Do(id, func(database *fakeup.Database) { database.IsDown = true })
+			fleet.tree.Remove(memberPrefix + id)
+		}
+		time.Sleep(20 * time.Second)
+		c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+		waits := fleet.leader().vm.Stats.PromotionWaits.Get("seals")
+		c.Assert(waits, qt.IsNotNil)
+		fleet.tree.Set("bramley/lost/b", nil)
+		time.Sleep(10 * time.Second)
+		c.Assert(fleet.upstream.Primary(), qt.Equals, "c")
+	})
+}
