engine, dbset: a read at a primary that has lost its log is not answered

Callers saw: reads on primary routes that lacked all commits, for some tenths of a second after the primary had started again without its log within a lease (STALE; on virtual time only).

Cause: a lease names the primary by its ID, and an empty database of that ID runs reads until the VMs have read its new registration.

Change: the position of an answer of the primary must not be before the latest one that its reads have shown; else the read is tried again (primaryBehind). A position of the primary that is before a known one no longer replaces it.

--- a/dbset/choose.go
+++ b/dbset/choose.go
@@ -54,7 +54,32 @@
 	// MinPosition is the minimum position that the database must have reached before
 	// it answers; zero is no minimum.
 	MinPosition posn.Position
-	Reason      Reason
+	// PrimaryApplied is the latest position that reads at the chosen primary have shown; zero if
+	// none is known, or a replica is chosen.
+	PrimaryApplied posn.Position
+	Reason         Reason
+}
+
+// IsAnswered reports whether an answer at a position is that of the chosen database. It is not if the
+// primary has started again without its log, which its registration may show only later.
+func (choice Choice) IsAnswered(position posn.Position) bool {
+	return position.AtLeast(choice.PrimaryApplied)
+}
+
+// ChoosePrimary returns the choice of the primary.
+func (group *Group) ChoosePrimary(primary Member) Choice {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return group.choosePrimary(primary, ToPrimary)
+}
+
+// choosePrimary returns the choice of the primary. group.mu must be held.
+func (group *Group) choosePrimary(primary Member, reason Reason) Choice {
+	choice := Choice{Member: primary, Reason: reason}
+	if primary.ID == group.primary {
+		choice.PrimaryApplied = group.primaryApplied
+	}
+	return choice
 }
 
 // Choose selects the database for a read with bounded staleness (rules 4 and 5).
@@ -67,7 +92,7 @@
 	hasPrimary = hasPrimary && !query.Exclude[primary.ID]
 	if replica != nil {
 		if hasPrimary && group.cost(group.members[primary.ID], query.Team, query.Now)+primaryPenalty < cost {
-			return Choice{Member: primary, Reason: ToPrimaryCheaper}
+			return group.choosePrimary(primary, ToPrimaryCheaper)
 		}
 		return Choice{Member: replica.Member, MinPosition: minPosition, Reason: ToReplica}
 	}
@@ -75,11 +100,11 @@
 	case !hasPrimary:
 		return Choice{Reason: Nowhere}
 	case !hasMinPosition:
-		return Choice{Member: primary, Reason: ToPrimaryNoMinPosition}
+		return group.choosePrimary(primary, ToPrimaryNoMinPosition)
 	case replicas == 0:
-		return Choice{Member: primary, Reason: ToPrimaryNoReplica}
+		return group.choosePrimary(primary, ToPrimaryNoReplica)
 	}
-	return Choice{Member: primary, Reason: ToPrimaryReplicasBehind}
+	return group.choosePrimary(primary, ToPrimaryReplicasBehind)
 }
 
 // minPosition returns a position that covers the session's own commits and every
--- a/dbset/dbset.go
+++ b/dbset/dbset.go
@@ -165,6 +165,8 @@
 	// primaryPosition is State.PrimaryPosition, primaryPositionAt when it was requested.
 	primaryPosition   posn.Position
 	primaryPositionAt time.Time
+	// primaryApplied is the latest position that the primary's reads are known to show.
+	primaryApplied posn.Position
 	// gap is the last period without a lease.
 	gap gap
 	// leaderObservedAt is the result of LeaderObservedAt.
@@ -291,7 +293,7 @@
 
 // setPrimary sets the term and its primary.
 func (group *Group) setPrimary(term uint64, id string) {
-	group.primaryPosition, group.primaryPositionAt = posn.Position{}, time.Time{}
+	group.primaryPosition, group.primaryPositionAt, group.primaryApplied = posn.Position{}, time.Time{}, posn.Position{}
 	group.term, group.primary, group.lastPrimary = term, id, id
 	group.notifyChange()
 }
@@ -386,6 +388,7 @@
 		member.received, member.applied = posn.Max(member.received, position), posn.Max(member.applied, position)
 		if member.ID == group.primary {
 			group.recordPrimaryPosition(position, requestedAt)
+			group.primaryApplied = posn.Max(group.primaryApplied, position)
 			group.addObservation(position, requestedAt)
 		} else {
 			member.estimateLag(group.observations, now)
--- a/dbset/received.go
+++ b/dbset/received.go
@@ -32,7 +32,7 @@
 
 // recordPrimaryPosition records a position of the primary that was requested at a time.
 func (group *Group) recordPrimaryPosition(position posn.Position, requestedAt time.Time) {
-	if requestedAt.After(group.primaryPositionAt) {
+	if requestedAt.After(group.primaryPositionAt) && position.AtLeast(group.primaryPosition) {
 		group.primaryPosition, group.primaryPositionAt = position, requestedAt
 	}
 }
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -106,7 +106,7 @@
 		if !ok || execution.exclude[primary.ID] {
 			return dbset.Choice{Reason: dbset.Nowhere}
 		}
-		return dbset.Choice{Member: primary, Reason: dbset.ToPrimary}
+		return execution.group.ChoosePrimary(primary)
 	}
 	query := dbset.Query{
 		MaxStaleness: execution.route.MaxStaleness, Exclude: execution.exclude, Team: execution.session.team,
--- a/engine/single.go
+++ b/engine/single.go
@@ -27,6 +27,8 @@
 	maxAttempts = 6
 	// busyRetryDelay is the delay before a saturated database is retried.
 	busyRetryDelay = 10 * time.Millisecond
+	// reasonBehind is the reason of retries of reads that saw less than the primary's log had.
+	reasonBehind = "primaryBehind"
 	// confirmTimeout limits the wait for a lease after a write was answered.
 	confirmTimeout = 500 * time.Millisecond
 	// ackShare/ackShareOf of the remaining time may be spent waiting for
@@ -76,6 +78,10 @@
 		conn.Discard()
 		return answer, lossReason(err)
 	}
+	if answer.Code == proto.OK && !choice.IsAnswered(answer.Position) {
+		conn.Discard()
+		return answer, reasonBehind
+	}
 	release(conn, answer)
 	if answer.Code == proto.OK || answer.Code == proto.TimedOut || answer.Code == proto.Malformed {
 		return answer, ""
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -194,7 +194,7 @@
 		return execution.chooseMember()
 	}
 	primary, ok := execution.waitForPrimary()
-	return dbset.Choice{Member: primary, Reason: dbset.ToPrimary}, ok
+	return execution.group.ChoosePrimary(primary), ok
 }
 
 // openTransaction opens the transaction at a database. A non-empty reason means that it
@@ -222,6 +222,9 @@
 		}
 		conn.Put()
 		return answer.Code.String()
+	case !choice.IsAnswered(answer.Position):
+		conn.Discard()
+		return reasonBehind
 	}
 	session.engine.Stats.Routes.Add(string(choice.Reason), 1)
 	transaction.conn = conn
--- a/vmrun/failover_test.go
+++ b/vmrun/failover_test.go
@@ -513,3 +513,19 @@
 		c.Assert(fleet.upstream.Primary(), qt.Equals, "c")
 	})
 }
+
+// STALE: the primary is started again without its log within the time of a lease. Until the VMs had
+// read its registration, reads on current routes ran there, and saw nothing.
+func TestPrimaryStartedEmpty(t *testing.T) {
+	for _, replicas := range []int{0, 1} {
+		withFailover(t, replicas, 20*time.Millisecond, func(c *qt.C, fleet *fleet) {
+			fleet.upstream.Do("a", func(database *fakeup.Database) { database.IsDown = true })
+			time.Sleep(100 * time.Millisecond)
+			fleet.upstream.StartEmpty("a")
+			time.Sleep(300 * time.Millisecond)
+			fleet.registerAll()
+			c.Assert(fleet.nonLeader().writeGap() < failoverTarget, qt.IsTrue)
+			c.Assert(fleet.upstream.Primary(), qt.Not(qt.Equals), "a")
+		})
+	}
+}
