lease: a revocation before the agent runs does not end the process

The controller then wrote into a map that Run creates, and the process ended with a panic. On real machines the agent wins that race; it has been seen on virtual time only.

The maps are created at first use.

--- a/lease/issue.go
+++ b/lease/issue.go
@@ -34,6 +34,7 @@
 // if the token has changed since the caller got it. A new token clears what is known of the
 // leases issued under the previous one. agent.mu must be held.
 func (agent *Agent) issuerOf(set int, token uint64, now time.Time) *issuer {
+	agent.init()
 	found, ok := agent.issuers[set]
 	if !ok || found.token < token {
 		found = &issuer{
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -153,8 +153,6 @@
 func (agent *Agent) Run(ctx context.Context) error {
 	agent.mu.Lock()
 	agent.init()
-	agent.revocations = make(map[string]*revocation)
-	agent.pending = make(map[uint64]pendingRequest)
 	wakeUp := agent.wakeUpLocked()
 	agent.mu.Unlock()
 	go agent.receive()
@@ -173,6 +171,7 @@
 func (agent *Agent) init() {
 	if agent.requesters == nil {
 		agent.requesters, agent.issuers = make(map[int]*requester), make(map[int]*issuer)
+		agent.revocations, agent.pending = make(map[string]*revocation), make(map[uint64]pendingRequest)
 	}
 }
 
--- a/lease/start_test.go
+++ b/lease/start_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -74,3 +75,22 @@
 		c.Check(sent <= sets*seconds*1000/700+own+sets, qt.IsTrue, qt.Commentf("%d datagrams", sent))
 	})
 }
+
+// Fault: a controller that found its VM to be the leader before the agent ran, as a new process may
+// be at once, ended the process.
+func TestRevokeBeforeRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newNetwork()
+		node := newNode(network, "vm1@10.0.0.1", []string{"vm1@10.0.0.1"})
+		ctx, cancel := context.WithCancel(t.Context())
+		revoked := make(chan bool)
+		go func() { revoked <- node.agent.Revoke(ctx, "ledger") }()
+		synctest.Wait()
+		go func() { _ = node.agent.Run(ctx) }()
+		c.Assert(<-revoked, qt.IsTrue)
+		c.Assert(node.primary(), qt.Equals, "")
+		cancel()
+		synctest.Wait()
+	})
+}
