promo, leader: an order says what its database had when it was complete

Where replication is synchronous, an unsettled order could not go on while another replica had received a commit that nobody had acknowledged: the ordered one, sealed, was behind it. In a schedule of TestPromisesUnderFaults a group was without a primary for 5 s, until the late call took effect.

The order in the record has the position that its database had when it was found to have all acknowledged commits. None is acknowledged while the order is unsettled, so the successor goes on with that database if it still has as much and the order's term has not begun.

--- a/leader/order.go
+++ b/leader/order.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"time"
+
+	"github.com/bramleydoor/bramleydoor/posn"
 )
 
 // Order is an order to promote a database that may still take effect.
@@ -14,6 +16,9 @@
 	// IsRepeated is set once the term has begun although a call had no answer: that call may
 	// still take effect, and then begins another term.
 	IsRepeated bool `json:"isRepeated,omitempty"`
+	// Complete is what the database had received when it was found to have all acknowledged commits,
+	// where replication is synchronous; zero if it was not found so before the order was recorded.
+	Complete posn.Position `json:"complete,omitzero"`
 }
 
 // RecordOrder writes an order for a group into the record, and reports whether that was
--- a/promo/holders_test.go
+++ b/promo/holders_test.go
@@ -236,3 +236,29 @@
 		t.Fatalf("recorded are %v, want %v", ids, want)
 	}
 }
+
+// A promotion for an order of a predecessor goes on although another replica has received more since,
+// which was not acknowledged: the record says what the order's database had when it was complete. It
+// does not if the database has less now, or the order's term may have begun.
+func TestOrderedReplicaIsStillComplete(t *testing.T) {
+	at := func(term, lsn uint64) posn.Position { return posn.Position{Term: term, LSN: lsn} }
+	replica := func(id string, term uint64, received posn.Position) sealedReplica {
+		return sealedReplica{dbset.Member{ID: id}, dbset.Report{Term: term, Received: received}}
+	}
+	for _, test := range []struct {
+		name    string
+		replica sealedReplica
+		order   leader.Order
+		want    bool
+	}{
+		{"complete", replica("b", 2, at(2, 185)), leader.Order{Member: "b", Term: 3, Complete: at(2, 185)}, true},
+		{"notStated", replica("b", 2, at(2, 185)), leader.Order{Member: "b", Term: 3}, false},
+		{"other", replica("c", 2, at(2, 186)), leader.Order{Member: "b", Term: 3, Complete: at(2, 185)}, false},
+		{"startedEmpty", replica("b", 0, at(0, 0)), leader.Order{Member: "b", Term: 3, Complete: at(2, 185)}, false},
+		{"termBegun", replica("b", 3, at(3, 9)), leader.Order{Member: "b", Term: 3, Complete: at(2, 185)}, false},
+	} {
+		if isStillComplete(test.replica, test.order) != test.want {
+			t.Errorf("%s: want %t", test.name, test.want)
+		}
+	}
+}
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -79,6 +79,9 @@
 		}
 	}
 	order := leader.Order{Member: best.member.ID, Term: term}
+	if state.IsSynchronous {
+		order.Complete = best.report.Received
+	}
 	isRecorded := controller.record(ctx, order)
 	controller.awaitRevocation(ctx, revocation, sealedAt)
 	orderedAt := controller.Clock.Now()
@@ -167,6 +170,9 @@
 	if !isSealed(before, best.member.ID) || !isSealed(seals, best.member.ID) {
 		return errors.Wrapf(errBehind, "%s is not sealed any more", best.member.ID)
 	}
+	if order, ok := controller.Leadership.Order(); ok && !order.IsRepeated && isStillComplete(best, order) {
+		return nil
+	}
 	if ahead, ok := mostAdvanced(seals); ok && !best.report.Received.AtLeast(ahead.report.Received) {
 		return errors.Wrapf(errBehind, "%s has received %s, and %s has received %s",
 			best.member.ID, best.report.Received, ahead.member.ID, ahead.report.Received)
@@ -178,6 +184,14 @@
 	return nil
 }
 
+// isStillComplete reports whether a replica has all acknowledged commits since it had them when an
+// unsettled order for it was recorded: none has been acknowledged since, unless the order's term has
+// begun.
+func isStillComplete(replica sealedReplica, order leader.Order) bool {
+	return order.Member == replica.member.ID && !order.Complete.IsZero() &&
+		replica.report.Received.AtLeast(order.Complete) && replica.report.Term < order.Term
+}
+
 // unmet names the databases that may have an acknowledged commit which no sealed replica has. While
 // an order is unsettled, commits may have been acknowledged in its term as well.
 func (controller *Controller) unmet(state dbset.State, seals []sealedReplica) string {
