--- a/vmrun/history_test.go
+++ b/vmrun/history_test.go
@@ -67,6 +67,11 @@
 	})
 }
 
+// callOne makes reads through a VM, as long as its process runs.
+func (history *history) callOne(called *testVM) {
+	history.call(func() *testVM { return called }, false, 30*time.Millisecond)
+}
+
 // callAll makes writes and reads through every VM of the fleet.
 func (history *history) callAll(readPause, writePause time.Duration) {
 	for i := range history.fleet.vms {
--- a/vmrun/schedule_test.go
+++ b/vmrun/schedule_test.go
@@ -21,8 +21,8 @@
 	fault string
 	// at is when it begins, relative to the fault that makes the leader replace the primary.
 	at, duration time.Duration
-	// database is 0 for the primary at that time, 1 or 2 for a replica; vm is 0 for the leader, 1
-	// or 2 for another VM.
+	// database is 0 for the primary when it begins, 1 or 2 for a replica; vm is 0 for the leader
+	// then, 1 or 2 for another VM.
 	database, vm int
 }
 
@@ -30,25 +30,38 @@
 	return fmt.Sprintf("%s of database %d and VM %d at %s for %s", scheduled.fault, scheduled.database, scheduled.vm, scheduled.at, scheduled.duration)
 }
 
-// drawRound draws a fault for which the primary is replaced, and up to three that accompany it.
+// drawRound draws a fault for which the primary is replaced, and up to five that accompany it.
 func drawRound(t *rapid.T) []scheduled {
 	ms := func(from, to int, name string) time.Duration {
 		return time.Duration(rapid.IntRange(from/100, to/100).Draw(t, name)) * 100 * time.Millisecond
 	}
 	trigger := scheduled{fault: rapid.SampledFrom([]string{"crash", "cut", "leaving"}).Draw(t, "trigger"), duration: ms(1000, 6500, "duration")}
 	round := []scheduled{trigger}
-	for range rapid.IntRange(0, 3).Draw(t, "companions") {
+	if rapid.IntRange(0, 3).Draw(t, "unheard") == 0 {
+		// The leader does not reach the primary, whose successor is not heard by the leader after it.
+		trigger.fault, trigger.duration = "cut", ms(3500, 6500, "cut for")
+		round = []scheduled{
+			trigger,
+			{fault: "deaf", at: ms(-1000, 0, "deaf at"), duration: 8 * time.Second, database: 2},
+			{fault: "crash", at: ms(1000, 3000, "crash at"), duration: ms(3000, 6500, "crash for")},
+			{fault: rapid.SampledFrom([]string{"killLeader", "killAll"}).Draw(t, "end"), at: ms(1000, 3000, "end at"), duration: 2400 * time.Millisecond},
+		}
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "companions") {
 		companion := scheduled{
-			fault:    rapid.SampledFrom([]string{"deaf", "leaving", "crash", "cut", "isolated", "storeCut", "lateOrders", "killLeader", "killAtOrder", "stopLeader"}).Draw(t, "fault"),
-			duration: ms(1000, 6500, "duration"), database: rapid.IntRange(1, 2).Draw(t, "database"), vm: rapid.IntRange(0, 2).Draw(t, "vm"),
+			fault: rapid.SampledFrom([]string{
+				"deaf", "deaf", "leaving", "crash", "crash", "cut", "isolated", "expire", "startEmpty", "join",
+				"killLeader", "killAtOrder", "killAll", "stopLeader", "stopVM", "storeCut", "lateOrders",
+			}).Draw(t, "fault"),
+			duration: ms(1000, 6500, "duration"), database: rapid.IntRange(0, 2).Draw(t, "database"), vm: rapid.IntRange(0, 2).Draw(t, "vm"),
 		}
 		switch companion.fault {
-		case "deaf", "leaving", "isolated":
-			companion.at = ms(-4000, 0, "at")
-		case "killLeader", "stopLeader", "crash":
-			companion.at = ms(0, 2000, "at")
-		case "lateOrders", "killAtOrder", "storeCut":
+		case "deaf", "leaving", "isolated", "expire", "cut", "stopVM":
+			companion.at = ms(-4000, 1000, "at")
+		case "lateOrders", "killAtOrder", "storeCut", "join":
 			companion.at = ms(-1000, 500, "at")
+		default:
+			companion.at = ms(0, 4000, "at")
 		}
 		round = append(round, companion)
 	}
@@ -57,7 +70,8 @@
 
 // player plays a schedule on a fleet.
 type player struct {
-	fleet *fleet
+	fleet   *fleet
+	history *history
 	// pending has the faults in progress, and the processes that are about to start again.
 	pending sync.WaitGroup
 
@@ -114,6 +128,23 @@
 	})
 }
 
+// register writes a database's registration.
+func (player *player) register(id string) { player.registerAs(id, false) }
+
+func (player *player) registerAs(id string, isLeaving bool) {
+	for _, member := range player.fleet.upstream.Members() {
+		if member.ID == id {
+			member.Leaving = isLeaving
+			player.fleet.register(member)
+		}
+	}
+}
+
+// expireLater removes the registration of a database that is down, after three silent check-ins.
+func (player *player) expireLater(id string) *time.Timer {
+	return time.AfterFunc(3600*time.Millisecond, func() { player.fleet.tree.Remove(memberPrefix + id) })
+}
+
 // begin begins a fault, and returns the function that ends it.
 func (player *player) begin(scheduled scheduled) (end func()) {
 	fleet, id, testVM := player.fleet, player.databases()[scheduled.database], player.vms()[scheduled.vm]
@@ -124,10 +155,30 @@
 	switch scheduled.fault {
 	case "crash":
 		end := onDatabase(func(database *fakeup.Database, isOn bool) { database.IsDown = isOn })
+		expiry := player.expireLater(id)
 		return func() {
+			expiry.Stop()
 			end()
 			fleet.upstream.Rejoin(id)
+			player.register(id)
 		}
+	case "expire":
+		// It runs on, but does not reach the store.
+		fleet.tree.Remove(memberPrefix + id)
+		return func() { player.register(id) }
+	case "startEmpty":
+		onDatabase(func(database *fakeup.Database, isOn bool) { database.IsDown = isOn })
+		expiry := player.expireLater(id)
+		return func() {
+			expiry.Stop()
+			fleet.upstream.StartEmpty(id)
+			player.register(id)
+		}
+	case "join":
+		fleet.vmsMu.Lock()
+		joined := fleet.start()
+		fleet.vmsMu.Unlock()
+		player.history.callOne(joined)
 	case "cut":
 		// Only the VM and, of three, no other one can't reach the database.
 		return onDatabase(func(database *fakeup.Database, isOn bool) {
@@ -136,16 +187,8 @@
 	case "deaf":
 		return onDatabase(func(database *fakeup.Database, isOn bool) { database.IsReplicationStopped = isOn })
 	case "leaving":
-		set := func(isLeaving bool) {
-			for _, member := range fleet.upstream.Members() {
-				if member.ID == id {
-					member.Leaving = isLeaving
-					fleet.register(member)
-				}
-			}
-		}
-		set(true)
-		return func() { set(false) }
+		player.registerAs(id, true)
+		return func() { player.register(id) }
 	case "isolated":
 		set := func(isBlocked bool) {
 			fleet.network.mu.Lock()
@@ -165,6 +208,14 @@
 	case "stopLeader":
 		stopped := player.vms()[0]
 		player.replace(stopped, func() { stopped.stop(); <-stopped.done }, 0)
+	case "stopVM":
+		if testVM != player.vms()[0] {
+			player.replace(testVM, func() { testVM.stop(); <-testVM.done }, scheduled.duration/4)
+		}
+	case "killAll":
+		for _, killed := range player.vms() {
+			player.replace(killed, killed.kill, scheduled.duration/8)
+		}
 	case "killAtOrder":
 		fleet.upstream.SetOnOrder(func(promo.Order) {
 			fleet.upstream.SetOnOrder(nil)
@@ -185,8 +236,8 @@
 		for _, id := range []string{"a", "b", "c"} {
 			fleet.upstream.Do(id, func(database *fakeup.Database) { database.Slots = 3 })
 		}
-		player := &player{fleet: fleet, restarting: make(map[int]bool)}
 		history := fleet.newHistory()
+		player := &player{fleet: fleet, history: history, restarting: make(map[int]bool)}
 		history.callAll(30*time.Millisecond, 60*time.Millisecond)
 		for _, round := range rounds {
 			for _, scheduled := range round {
@@ -224,16 +275,23 @@
 // LOST, STALE, ONE: whatever faults of databases, VMs, the store and the platform come together
 // around a promotion, it loses no acknowledged commit where replication is synchronous, no read
 // misses a commit that was acknowledged before it, and no former primary's commit is confirmed.
+//
+// Seed 9 found ONE when a leader did not know the newest term (case 8 of the review), seed 4 LOST when
+// only registered databases had to be sealed (case 6).
 func TestPromisesUnderFaults(t *testing.T) {
-	checkRapid(t, 2, 12, func(rt *rapid.T) {
-		replicas := rapid.IntRange(0, 1).Draw(rt, "replicas")
-		rounds := rapid.SliceOfN(rapid.Custom(drawRound), 1, 2).Draw(rt, "rounds")
-		if violations := playRounds(t, replicas, rounds); len(violations) > 0 {
-			var text strings.Builder
-			for _, round := range rounds {
-				fmt.Fprintln(&text, round)
-			}
-			rt.Fatalf("%d synchronous replicas, %d violations, the first: %s\n%s", replicas, len(violations), violations[0], text.String())
-		}
-	})
+	for _, test := range []struct{ seed, checks int }{{9, 40}, {4, 25}} {
+		t.Run(fmt.Sprintf("seed%d", test.seed), func(t *testing.T) {
+			checkRapid(t, test.seed, test.checks, func(rt *rapid.T) {
+				replicas := rapid.IntRange(0, 1).Draw(rt, "replicas")
+				rounds := rapid.SliceOfN(rapid.Custom(drawRound), 1, 2).Draw(rt, "rounds")
+				if violations := playRounds(t, replicas, rounds); len(violations) > 0 {
+					var text strings.Builder
+					for _, round := range rounds {
+						fmt.Fprintln(&text, round)
+					}
+					rt.Fatalf("%d synchronous replicas, %d violations, the first: %s\n%s", replicas, len(violations), violations[0], text.String())
+				}
+			})
+		})
+	}
 }
