soak: synchronous groups, VMs that join, losses of those who know

VMs join; databases start again without their logs, or lose their registration; "holdersLost" stops the primary and the only replica that receives after a VM has left, "successorLost" a promoted database together with all VMs while its predecessor could not be demoted.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -132,6 +132,7 @@
 	{"notRun", checkNotRun},
 	{"proof", checkProof},
 	{"formerPrimary", checkFormerPrimary},
+	{"kept", checkKept},
 	{"reads", checkReads},
 	{"unmixed", checkUnmixed},
 	{"values", checkValues},
--- a/audit/rules.go
+++ b/audit/rules.go
@@ -96,6 +96,25 @@
 	})
 }
 
+// checkKept checks that a promoted database has all commits that were acknowledged before, where
+// replication is synchronous.
+func checkKept(checker *checker) {
+	checker.eachSuccess(func(op *Op, run *fakeup.Run) {
+		if run == nil || run.Committed.IsZero() {
+			return
+		}
+		for _, term := range checker.Groups[op.Group].Terms {
+			if !op.AnsweredAt.Before(term.At) {
+				continue
+			}
+			checker.countCheck()
+			if slices.Contains(term.Lost, run.Text) {
+				checker.addFinding("%s %s was acknowledged at %s, and %s was promoted without it", op.Kind, op.ID, run.Committed, term.Primary)
+			}
+		}
+	})
+}
+
 // commit is a commit that was acknowledged to a caller.
 type commit struct {
 	position posn.Position
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -44,10 +44,15 @@
 	{"stop", true, 0, stopVM},
 	{"reload", true, 0, onRandomVM(func(vm *vm) error { _, err := vm.signal(syscall.SIGHUP, false); return err })},
 	{"configuration", true, 0, func(_ context.Context, fleet *fleet, _ *rand.Rand, _ time.Duration) error { return fleet.configure() }},
+	{"join", true, 0, joinVM},
 	{"kill", false, 1500 * time.Millisecond, killVM},
 	{"killAll", false, time.Second, killAllVMs},
 	{"pause", false, 4 * time.Second, pauseVM},
 	{"databaseCrash", false, 5 * time.Second, crashDatabase},
+	{"databaseEmpty", false, 5 * time.Second, restartEmpty},
+	{"databaseUnregistered", false, 8 * time.Second, cutDatabaseFromStore},
+	{"holdersLost", false, 8 * time.Second, loseHolders},
+	{"successorLost", false, 6 * time.Second, loseSuccessor},
 	{"databaseDark", false, 4 * time.Second, onRandomDatabase(func(fake *fakeup.Database, isOn bool) { fake.IsUnresponsive = isOn })},
 	{"databaseDeaf", false, 4 * time.Second, onRandomDatabase(func(fake *fakeup.Database, isOn bool) { fake.IsReplicationStopped = isOn })},
 	{"databaseLags", false, 4 * time.Second, onRandomDatabase(func(fake *fakeup.Database, isOn bool) {
@@ -168,7 +173,10 @@
 	}
 }
 
-func (fleet *fleet) randomVM(random *rand.Rand) *vm { return fleet.vms[random.IntN(len(fleet.vms))] }
+func (fleet *fleet) randomVM(random *rand.Rand) *vm {
+	vms := fleet.live()
+	return vms[random.IntN(len(vms))]
+}
 
 type applyFunc = func(ctx context.Context, fleet *fleet, random *rand.Rand, duration time.Duration) error
 
@@ -190,6 +198,18 @@
 	return vm.start()
 }
 
+// joinVM starts a further VM, if there is one left.
+func joinVM(_ context.Context, fleet *fleet, _ *rand.Rand, _ time.Duration) error {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if len(fleet.joining) == 0 {
+		return nil
+	}
+	joining := fleet.joining[0]
+	fleet.joining, fleet.vms = fleet.joining[1:], append(fleet.vms, joining)
+	return joining.start()
+}
+
 func killVM(ctx context.Context, fleet *fleet, random *rand.Rand, duration time.Duration) error {
 	vm := fleet.randomVM(random)
 	if err := vm.kill(); err != nil {
@@ -201,11 +221,11 @@
 
 func killAllVMs(ctx context.Context, fleet *fleet, _ *rand.Rand, duration time.Duration) error {
 	var err error
-	for _, vm := range fleet.vms {
+	for _, vm := range fleet.live() {
 		err = errors.CombineErrors(err, vm.kill())
 	}
 	sleep(ctx, duration)
-	for _, vm := range fleet.vms {
+	for _, vm := range fleet.live() {
 		err = errors.CombineErrors(err, vm.start())
 	}
 	return err
@@ -248,6 +268,25 @@
 	return database.Start()
 }
 
+// restartEmpty stops a database and starts it again without its log.
+func restartEmpty(ctx context.Context, fleet *fleet, random *rand.Rand, duration time.Duration) error {
+	database := fleet.randomDatabase(random)
+	if err := database.Stop(); err != nil {
+		return err
+	}
+	sleep(ctx, duration)
+	return database.StartEmpty()
+}
+
+// cutDatabaseFromStore lets a database run on without its registration.
+func cutDatabaseFromStore(ctx context.Context, fleet *fleet, random *rand.Rand, duration time.Duration) error {
+	database := fleet.randomDatabase(random)
+	database.CutFromStore(true)
+	sleep(ctx, duration)
+	database.CutFromStore(false)
+	return nil
+}
+
 // rejoinDelay is how long a replaced primary continues to act as one after it can
 // reach the other databases again. The value is the platform's.
 const rejoinDelay = time.Second
@@ -271,7 +310,7 @@
 	database := fleet.randomDatabase(random)
 	id := database.ID
 	blocked := make(map[string]bool)
-	for _, vm := range fleet.vms {
+	for _, vm := range fleet.live() {
 		blocked[vm.name] = random.IntN(2) == 0
 	}
 	database.Upstream.Do(id, func(fake *fakeup.Database) { fake.UnreachableFrom = blocked })
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,6 +37,8 @@
 	// maxConnections is the connection limit of a database.
 	maxConnections = 60
 	groupCount     = 2
+	// joiningVMs is how many VMs may join during a run.
+	joiningVMs = 2
 )
 
 // fleet is the VMs under test and the fakes of the platform and the databases.
@@ -48,10 +51,11 @@
 	// groups and databases are fakes.
 	groups    map[string]*fakeup.Upstream
 	databases []*platform.FakeDatabase
-	vms       []*vm
-	servers   []*http.Server
-	done      chan struct{}
-	tasks     sync.WaitGroup
+	// vms has the VMs that were started, joining those that may join them; live returns a copy.
+	vms, joining []*vm
+	servers      []*http.Server
+	done         chan struct{}
+	tasks        sync.WaitGroup
 
 	mu sync.Mutex
 	// configVersion is the newest version in the store, and configSetAt the time at
@@ -100,6 +104,7 @@
 	for i := range groupCount {
 		name := fmt.Sprintf("group%d", i)
 		fleet.groups[name] = fakeup.New(name)
+		fleet.groups[name].SyncReplicas = i % 2 // every second group replicates synchronously
 		fleet.groups[name].OnRun = func(run *fakeup.Run) {
 			first, last := oddEnds[len(run.Text)%len(oddEnds)], oddEnds[len(run.ID)%len(oddEnds)]
 			// CR LF would end the row.
@@ -114,16 +119,27 @@
 			})
 		}
 	}
-	for i := range soak.VMs {
+	for i := range soak.VMs + joiningVMs {
 		vm, err := fleet.newVM(i + 1)
 		if err != nil {
 			return nil, err
 		}
-		fleet.vms = append(fleet.vms, vm)
+		if i < soak.VMs {
+			fleet.vms = append(fleet.vms, vm)
+		} else {
+			fleet.joining = append(fleet.joining, vm)
+		}
 	}
 	return fleet, nil
 }
 
+// live returns the VMs that were started.
+func (fleet *fleet) live() []*vm {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return slices.Clone(fleet.vms)
+}
+
 // ip returns a loopback address of the run. Network 1 is for VMs, 2 for databases and 3
 // for the platform.
 func (fleet *fleet) ip(network, host int) string {
@@ -213,7 +229,7 @@
 		}
 	}
 	for name := range fleet.groups {
-		next.Upstreams[name] = config.Upstream{Name: name, MaxConnections: maxConnections}
+		next.Upstreams[name] = config.Upstream{Name: name, MaxConnections: maxConnections, SyncReplicas: fleet.groups[name].SyncReplicas}
 		for _, access := range accesses {
 			route(name+"-"+access.String(), name, access)
 		}
@@ -236,7 +252,7 @@
 // stop kills the VMs, stops the fakes and returns the errors of both.
 func (fleet *fleet) stop() error {
 	var err error
-	for _, vm := range fleet.vms {
+	for _, vm := range fleet.live() {
 		err = errors.CombineErrors(err, vm.kill())
 	}
 	close(fleet.done)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -129,7 +129,7 @@
 // how long that took; false if it took longer than limit or ctx ended.
 func (fleet *fleet) awaitServing(ctx context.Context, limit time.Duration) (time.Duration, bool) {
 	began := time.Now()
-	for _, vm := range fleet.vms {
+	for _, vm := range fleet.live() {
 		for group := range fleet.groups {
 			for !fleet.isServing(vm, group) {
 				if time.Since(began) > limit || !sleep(ctx, maxPause/4) {
@@ -180,7 +180,7 @@
 	}
 	auditReport := audit.Check(history)
 	report.Checked, report.Findings = auditReport.Checked, auditReport.Findings
-	for _, vm := range fleet.vms {
+	for _, vm := range fleet.live() {
 		if vm.unexpectedExits > 0 {
 			report.Findings = append(report.Findings, audit.Finding{Rule: "exits", Text: vm.name + " exited without a signal to end it"})
 		}
