leader, vmrun: an old configuration or copy drops no order, and gives no keys

- A leader dropped the unsettled orders of groups that its configuration lacks.
A VM that takes over with an older configuration than its predecessor's lacks groups that exist; it may have issued leases against the order (STALE).
It drops them now only by a configuration known to be complete since the takeover.
TestOrderOfGroupNotKnownYet.
- A process that starts could take its first keys for messages from a copy of the list of VMs that is seconds old, with a key that was removed since.
The first ones are read from the store itself.
TestFirstKeysAreNotOfOldCopy.

--- a/leader/group_test.go
+++ b/leader/group_test.go
@@ -175,3 +175,29 @@
 		}
 	})
 }
+
+// STALE: a leader whose configuration was older than its predecessor's took the order for a group that
+// it did not know yet for one of a group that had been removed, and dropped it.
+func TestOrderOfGroupNotKnownYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tree := &fakekv.Tree{}
+		first := newElector(tree, "vm1", 1)
+		stop := startElector(first)
+		time.Sleep(time.Second)
+		c.Assert(first.RecordOrder(t.Context(), "added", leader.Order{Member: "b", Term: 2}), qt.IsTrue)
+		configuredAt := time.Now()
+		time.Sleep(time.Second)
+		stop()
+		second := newElector(tree, "vm2", 2)
+		defer startElector(second)()
+		time.Sleep(2 * time.Second)
+		lacksAll := func(string) bool { return false }
+		second.RetainOrders(lacksAll, configuredAt)
+		_, ok := second.Order("added")
+		c.Assert(ok, qt.IsTrue)
+		second.RetainOrders(lacksAll, time.Now())
+		_, ok = second.Order("added")
+		c.Assert(ok, qt.IsFalse)
+	})
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -121,6 +121,8 @@
 	version, writing, recorded uint64
 	// isStopping is set before the lease is released: no further order may begin.
 	isStopping bool
+	// takenAt is when this VM last took the record of another process, before it was written.
+	takenAt time.Time
 	// predecessorRenewedAt is the result of PredecessorRenewedAt.
 	predecessorRenewedAt time.Time
 	// confirmedRevision is the record's revision after the last confirmed write.
@@ -369,6 +371,7 @@
 	// It is stored before the lease can be valid, since it tells which leases still run.
 	elector.mu.Lock()
 	elector.predecessorRenewedAt, elector.minToken, elector.freeSince = renewedAt, 0, time.Time{}
+	elector.takenAt = elector.Clock.Now()
 	elector.unsettled = make(map[string]Order, len(old.Orders))
 	maps.Copy(elector.unsettled, old.Orders)
 	elector.groups = make(map[string]GroupState, len(old.Groups))
--- a/leader/order.go
+++ b/leader/order.go
@@ -68,10 +68,15 @@
 	elector.unsettled[group] = order
 }
 
-// RetainOrders drops the orders for groups that no longer exist.
-func (elector *Elector) RetainOrders(exists func(group string) bool) {
+// RetainOrders drops the orders for groups that no longer exist by a configuration that was the
+// newest at a time. It does nothing if this VM has become the leader since: its predecessor may have
+// had a newer configuration, with more groups.
+func (elector *Elector) RetainOrders(exists func(group string) bool, asOf time.Time) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
+	if !asOf.After(elector.takenAt) {
+		return
+	}
 	maps.DeleteFunc(elector.unsettled, func(group string, _ Order) bool { return !exists(group) })
 }
 
--- a/leader/sets.go
+++ b/leader/sets.go
@@ -186,12 +186,12 @@
 }
 
 // RetainOrders is Elector.RetainOrders for all sets.
-func (sets *Sets) RetainOrders(exists func(group string) bool) {
+func (sets *Sets) RetainOrders(exists func(group string) bool, asOf time.Time) {
 	sets.mu.Lock()
 	electors := sets.electors
 	sets.mu.Unlock()
 	for _, elector := range electors {
-		elector.RetainOrders(exists)
+		elector.RetainOrders(exists, asOf)
 	}
 }
 
--- a/vmrun/feed.go
+++ b/vmrun/feed.go
@@ -192,6 +192,13 @@
 	return feed.currentAt.IsZero()
 }
 
+// completeAt returns the latest time at which the copy was known to be complete.
+func (feed *feed) completeAt() time.Time {
+	feed.mu.Lock()
+	defer feed.mu.Unlock()
+	return feed.currentAt
+}
+
 func (feed *feed) isOlderThan(now time.Time, age time.Duration) bool {
 	feed.mu.Lock()
 	defer feed.mu.Unlock()
--- a/vmrun/groups.go
+++ b/vmrun/groups.go
@@ -172,8 +172,9 @@
 
 // retainOrders drops the orders for groups that the configuration no longer has.
 func (vm *VM) retainOrders() {
+	asOf := vm.configFeed.completeAt()
 	if current := vm.config.Load(); current != nil {
-		vm.elector.RetainOrders(func(group string) bool { _, ok := current.Upstreams[group]; return ok })
+		vm.elector.RetainOrders(func(group string) bool { _, ok := current.Upstreams[group]; return ok }, asOf)
 	}
 }
 
--- a/vmrun/vms.go
+++ b/vmrun/vms.go
@@ -304,7 +304,10 @@
 	if err != nil {
 		return err
 	}
-	vm.installPeerKeys(items)
+	if isFresh || vm.auth.Keys.HasKey() {
+		// The first keys of a process are not those of an old copy: some may have been removed.
+		vm.installPeerKeys(items)
+	}
 	if !vm.vmList.updateAt(items, revision, isFresh, readAt, vm.Clock.Now()) {
 		return nil
 	}
--- a/vmrun/vms_test.go
+++ b/vmrun/vms_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bramleydoor/bramleydoor/authn"
 	"github.com/bramleydoor/bramleydoor/dbset"
 	"github.com/bramleydoor/bramleydoor/store"
 )
@@ -131,3 +132,32 @@
 	vm.vmList.update(recordsOf("vm2@10.0.0.2"), vm.Clock.Now())
 	c.Check(vm.pollCheckInterval(false), qt.Equals, pollInterval/3)
 }
+
+// STALE: the list that a leader had read from the store for a revocation was replaced by an older copy,
+// and lacked VMs again that may use evidence.
+func TestOlderCopyOfList(t *testing.T) {
+	c := qt.New(t)
+	list := &vmList{}
+	now := time.Unix(1000, 0)
+	c.Assert(list.isComplete(now), qt.IsFalse)
+	c.Assert(list.updateAt(recordsOf("vm1@10.0.0.1", "vm2@10.0.0.2"), 20, true, now, now), qt.IsTrue)
+	c.Assert(list.updateAt(recordsOf("vm1@10.0.0.1"), 19, false, now, now), qt.IsFalse)
+	c.Assert(list.names(), qt.HasLen, 2)
+	c.Assert(list.isComplete(now.Add(vmListCompleteFor/2)), qt.IsTrue)
+	c.Assert(list.isComplete(now.Add(vmListCompleteFor)), qt.IsFalse)
+	c.Assert(list.updateAt(recordsOf("vm1@10.0.0.1"), 20, false, now, now), qt.IsTrue)
+	c.Assert(list.names(), qt.HasLen, 1)
+}
+
+// A process that starts does not take its first keys from a copy that may have removed ones.
+func TestFirstKeysAreNotOfOldCopy(t *testing.T) {
+	c := qt.New(t)
+	vm, _, _ := newUnneededVM()
+	defer vm.stopGroups()
+	_, err := authn.ReadOrCreate(t.Context(), vm.Store, vm.Clock)
+	c.Assert(err, qt.IsNil)
+	c.Assert(vm.readVMList(t.Context(), false), qt.IsNil)
+	c.Assert(vm.auth.Keys.HasKey(), qt.IsFalse)
+	c.Assert(vm.readVMList(t.Context(), true), qt.IsNil)
+	c.Assert(vm.auth.Keys.HasKey(), qt.IsTrue)
+}
