promo: an accepted order that was not seen to take effect is not a repeated one

An order that the platform had accepted, and whose database did not answer then, was marked as if its call had had no answer. Once settled it stayed in the record as one that may still begin a term, so that each later leader would have revoked all leases before it issued any. It is kept apart now; it stays unsettled as before.

--- a/leader/claim.go
+++ b/leader/claim.go
@@ -156,8 +156,8 @@
 func (elector *Elector) claimed() int { return max(elector.confirmed.Sets, 1) }
 
 // beginClaim returns the number of sets by which the next renewal claims groups, its record
-// without the claim, and the record that it follows. While an order is in flight or unsettled for a group that the leader gives up, the
-// record goes on claiming it.
+// without the claim, and the record that it follows. While an order is in flight or unsettled for
+// a group that the leader gives up, the record goes on claiming it.
 func (elector *Elector) beginClaim() (sets int, next, former record) {
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -116,8 +116,8 @@
 	// record, and when the lease is lost.
 	unsettled map[string]Order
 	renewed   broadcast
-	// version counts the changes of unsettled and groups. writing is the version that the write in progress
-	// has, recorded that of the last confirmed write.
+	// version counts the changes of unsettled and groups. writing is the version that the write in
+	// progress has, recorded that of the last confirmed write.
 	version, writing, recorded uint64
 	// isStopping is set before the lease is released: no further order may begin.
 	isStopping bool
--- a/promo/order.go
+++ b/promo/order.go
@@ -68,7 +68,7 @@
 		return nil
 	case err == nil && !controller.hasReported(order.Member, acceptedAt.Add(primaryTimeout/2)):
 		// It may have become the primary and then failed.
-		controller.hasUnanswered = true
+		controller.isUnseen = true
 		controller.logOrder(event.OrderUnsettled, order, event.Fields{"reason": "noReport", "error": errNoReport.Error()})
 		return errNoReport
 	case err == nil:
@@ -117,7 +117,7 @@
 		}
 	}
 	controller.Leadership.SettleOrder(controller.hasUnanswered || controller.wasRepeated)
-	controller.hasUnanswered, controller.wasRepeated = false, false
+	controller.hasUnanswered, controller.wasRepeated, controller.isUnseen = false, false, false
 }
 
 // hasReported reports whether a database has answered a request for a report that was sent at a
@@ -128,10 +128,10 @@
 }
 
 // abandon ends a promotion that has sent no order which may take effect. While an earlier order
-// may, the replicas stay sealed, so that no report of theirs stands in for a lease.
+// may, or may have, the replicas stay sealed, so that no report of theirs stands in for a lease.
 func (controller *Controller) abandon(seals []sealedReplica) {
 	if order, ok := controller.Leadership.Order(); ok && !order.IsRepeated {
-		if controller.hasUnanswered {
+		if controller.hasUnanswered || controller.isUnseen {
 			return
 		}
 		controller.settle()
--- a/promo/promo.go
+++ b/promo/promo.go
@@ -182,10 +182,12 @@
 	awaitedToken uint64
 	// token is the fencing token at the last check, tokenSince when it was new. hasUnanswered is
 	// set if the present order may have been sent in a call without an answer, wasRepeated if an
-	// earlier one was.
+	// earlier one was. isUnseen is set if the platform has accepted the present order, and its
+	// database has not answered since.
 	token                      uint64
 	tokenSince                 time.Time
 	hasUnanswered, wasRepeated bool
+	isUnseen                   bool
 	// ineffective is the database that the last order named, if that was accepted without
 	// effect.
 	ineffective string
@@ -220,7 +222,7 @@
 	}
 	order, ok := controller.Leadership.Order()
 	controller.token, controller.tokenSince = token, controller.Clock.Now()
-	controller.hasUnanswered, controller.wasRepeated = ok, ok && order.IsRepeated
+	controller.hasUnanswered, controller.wasRepeated, controller.isUnseen = ok, ok && order.IsRepeated, false
 }
 
 // step checks the group once, promotes a replica if needed, and returns the delay until
