--- a/lease/revoke.go
+++ b/lease/revoke.go
@@ -92,11 +92,10 @@
 // knows of it, may use evidence. VMs that don't need the group are among these: one may
 // begin to need it at any time, and acknowledging makes it ignore the evidence of replicas
 // that the leader could not seal. No list has all VMs to which another leader may have issued
-// leases, so Revoke waits until these have expired. It returns false
-// once the leases of the VMs that have not acknowledged have expired, but not before
-// EvidenceDuration, for which the caller has to wait then anyway, or if this VM can't learn which
-// VMs may use evidence. It also returns false if ctx ends before that, or if this VM is not the
-// leader.
+// leases, so Revoke waits until these have expired. It returns false once the leases of the VMs
+// that have not acknowledged have expired, or if this VM can't learn which VMs may use evidence,
+// but not before EvidenceDuration, for which the caller has to wait then anyway. It also returns
+// false if ctx ends before that, or if this VM is not the leader.
 func (agent *Agent) Revoke(ctx context.Context, group string) bool {
 	token, ok := agent.Leadership.HoldsGroup(group, 0)
 	if !ok {
@@ -164,12 +163,13 @@
 	}
 }
 
-// refreshPeers makes Peers complete, unless it is. The channel is closed at the end.
+// refreshPeers begins to make Peers complete. The channel is closed at the end of that; it is nil if
+// there is nothing to do.
 func (agent *Agent) refreshPeers(ctx context.Context) <-chan struct{} {
-	refreshed := make(chan struct{})
 	if agent.hasAllPeers() || agent.RefreshPeers == nil {
-		return refreshed
+		return nil
 	}
+	refreshed := make(chan struct{})
 	go func() {
 		defer close(refreshed)
 		agent.RefreshPeers(ctx)
