audit: a lost commit is told by its ID

The fake records IDs, and audit compares these. The valid history of the test has a lost statement of the same text, and a lost commit is a violation.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -48,7 +48,8 @@
 	return &audit.History{
 		ActivationTimeout: 5 * time.Second, Ops: ops,
 		Groups: map[string]audit.Group{"": {
-			Terms: []fakeup.Term{{Number: 2, Start: position(1, 2)}},
+			// Another statement of the same text was lost.
+			Terms: []fakeup.Term{{Number: 2, Start: position(1, 2), At: at(1015), LostIDs: []string{"other"}, Lost: []string{"WRITE x 1"}}},
 			Runs: []fakeup.Run{
 				w1, run("r1", "READ x", position(1, 2), posn.Position{}), t1, t2, r2,
 				run("r3", "READ y", position(2, 2), posn.Position{}),
@@ -96,8 +97,12 @@
 		"committed though answered as not run": {"notRun", func(history *audit.History) {
 			add(history, fakeup.Run{ID: "no", Text: "WRITE z 1", Values: map[string]string{"zone": "a"}, Committed: position(2, 5)})
 		}},
-		"success with the proof of another request":                          {"proof", func(history *audit.History) { op(history, "r1").Answer.Proof = "p-r2" }},
-		"rows of another run":                                                {"proof", func(history *audit.History) { op(history, "r1").Answer.Rows = []string{"READ y"} }},
+		"success with the proof of another request": {"proof", func(history *audit.History) { op(history, "r1").Answer.Proof = "p-r2" }},
+		"rows of another run":                       {"proof", func(history *audit.History) { op(history, "r1").Answer.Rows = []string{"READ y"} }},
+		"commit that a promotion lost": {"kept", func(history *audit.History) {
+			term := &history.Groups[""].Terms[0]
+			term.At, term.LostIDs = at(1500), []string{"other", "w1"}
+		}},
 		"commit of a former primary":                                         {"formerPrimary", func(history *audit.History) { run(history, "stop").ByFormerPrimary = true }},
 		"read at level current without an earlier commit":                    {"reads", func(history *audit.History) { run(history, "r1").Position = position(1, 1) }},
 		"read without a write of its session":                                {"reads", func(history *audit.History) { run(history, "r2").Position = position(2, 2) }},
--- a/audit/rules.go
+++ b/audit/rules.go
@@ -108,7 +108,7 @@
 				continue
 			}
 			checker.countCheck()
-			if slices.Contains(term.Lost, run.Text) {
+			if slices.Contains(term.LostIDs, run.ID) {
 				checker.addFinding("%s %s was acknowledged at %s, and %s was promoted without it", op.Kind, op.ID, run.Committed, term.Primary)
 			}
 		}
--- a/fakeup/fakeup.go
+++ b/fakeup/fakeup.go
@@ -109,9 +109,9 @@
 	Primary string
 	Start   posn.Position
 	At      time.Time
-	// Lost has the texts of the statements whose commits the primary's log lacks. It is set with
-	// SyncReplicas only.
-	Lost []string
+	// Lost has the texts of the statements whose commits the primary's log lacks, LostIDs their IDs.
+	// They are set with SyncReplicas only.
+	Lost, LostIDs []string
 }
 
 // Upstream is a fake upstream with one group of databases.
--- a/fakeup/group.go
+++ b/fakeup/group.go
@@ -236,7 +236,7 @@
 	term := Term{Number: upstream.term, Primary: named.ID, Start: named.end(), At: time.Now()}
 	for _, run := range upstream.runs {
 		if upstream.SyncReplicas > 0 && !run.Committed.IsZero() && !named.has(run.Committed) {
-			term.Lost = append(term.Lost, run.Text)
+			term.Lost, term.LostIDs = append(term.Lost, run.Text), append(term.LostIDs, run.ID)
 		}
 	}
 	upstream.terms = append(upstream.terms, term)
