--- a/vmrun/unknown_test.go
+++ b/vmrun/unknown_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bramleydoor/bramleydoor/fakeup"
+	"github.com/bramleydoor/bramleydoor/leader"
 	"github.com/bramleydoor/bramleydoor/promo"
 	"github.com/bramleydoor/bramleydoor/proto"
 )
@@ -309,3 +310,32 @@
 		})
 	}
 }
+
+// ONE, mixed versions: the record of a leader of an earlier version has no terms. The next leader issues
+// no lease until all registered databases have reported to it, since the one that is down may lead a
+// newer term.
+func TestTermWithoutRecord(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			fleet := newFleet(0)
+			defer fleet.close()
+			fleet.tree.Set(leader.Key, []byte(`{"holder":"","run":0,"token":7,"beat":0}`))
+			fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = true })
+			for range 3 {
+				fleet.start()
+			}
+			time.Sleep(10 * time.Second)
+			c.Assert(fleet.nonLeader().tryWrite(), qt.Not(qt.Equals), proto.OK)
+			c.Assert(fleet.leader().vm.Stats.PromotionWaits.Get("reports"), qt.IsNotNil)
+			c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+			if returns {
+				fleet.upstream.Do("b", func(database *fakeup.Database) { database.IsDown = false })
+			} else {
+				fleet.tree.Remove(memberPrefix + "b")
+			}
+			c.Assert(fleet.nonLeader().writeGap() < failoverTarget, qt.IsTrue)
+			c.Assert(fleet.upstream.Terms(), qt.HasLen, 0)
+		})
+	}
+}
