--- a/vmrun/promotion_test.go
+++ b/vmrun/promotion_test.go
@@ -24,7 +24,7 @@
 	expired   takeover = "leaderExpired"
 )
 
-// writeGap returns the longest time between two acknowledged writes at a VM around a change of the
+// writeGapOf returns the longest time between two acknowledged writes at a VM around a change of the
 // primary, which comes some time after a new leader has been found.
 func writeGapOf(isPlanned bool, takeover takeover, after time.Duration) time.Duration {
 	fleet := startFleetOf(3, 0)
