--- /dev/null
+++ b/review/standin3/world.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/bramleydoor/bramleydoor/fakekv"
+	"github.com/bramleydoor/bramleydoor/platform"
+)
+
+const (
+	frontPort, readyPort, databasePort = "7400", "7401", "7500"
+	storePort, cloudPort               = "7600", "7601"
+	graceS, drainMs                    = 6, 7000
+	memoryMb                           = 414
+	heartbeat                          = 1200 * time.Millisecond
+)
+
+var zones = []string{"constitucion", "retiro", "once", "lacroze"}
+
+// world is a small deployment: five machines, the platform and the databases.
+type world struct {
+	dir, program string
+	net          int
+	store        *platform.FakeStore
+	groups       []*group
+	nodes        []*node
+	done         chan struct{}
+	servers      []*http.Server
+	began        time.Time
+
+	mu     sync.Mutex
+	lines  []string
+	states map[string]string
+}
+
+// node is one machine with its process.
+type node struct {
+	world    *world
+	name, ip string
+	settings string
+	command  *exec.Cmd
+	exited   chan struct{}
+}
+
+// record adds a line to record.txt.
+func (world *world) record(format string, args ...any) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.lines = append(world.lines, fmt.Sprintf("%8.3f  ", time.Since(world.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// newWorld chooses loopback addresses that are free.
+func newWorld(program, dir string) (*world, error) {
+	for offset := range 200 {
+		number := 1 + (os.Getpid()+offset)%250
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.3.1:%s", number, storePort))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return &world{
+			dir: dir, program: program, net: number, done: make(chan struct{}), began: time.Now(),
+			store: &platform.FakeStore{Tree: &fakekv.Tree{}}, states: make(map[string]string),
+		}, nil
+	}
+	return nil, fmt.Errorf("no free loopback network")
+}
+
+func (world *world) platformIP() string { return fmt.Sprintf("127.%d.3.1", world.net) }
+
+// route is a route of the desired state.
+type route struct {
+	Name      string `json:"name"`
+	Host      string `json:"host"`
+	Type      string `json:"type"`
+	Service   string `json:"service"`
+	TimeoutMs int    `json:"timeoutMs"`
+	TargetMs  int    `json:"targetLatencyMs"`
+	Priority  int    `json:"priority"`
+	Staleness int    `json:"maxStalenessMs,omitempty"`
+}
+
+// configure writes a desired state.
+func (world *world) configure(version int, routes []route) error {
+	services := make([]map[string]any, 0, len(world.groups))
+	for _, group := range world.groups {
+		services = append(services, map[string]any{"name": group.name, "maxConns": maxConns, "syncReplicas": group.sync})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes, "services": services, "limits": map[string]any{"txIdleMs": 3000},
+	})
+	if err != nil {
+		return err
+	}
+	world.store.Tree.Set("op/config", value)
+	return nil
+}
+
+// register keeps the registrations of a database as its check-ins do.
+func (world *world) register(db *database) {
+	var last string
+	var silent time.Time
+	for seq := 1; ; seq++ {
+		db.group.mu.Lock()
+		role, isUp := "replica", db.listener != nil
+		if db.leads {
+			role = "primary"
+		}
+		db.group.mu.Unlock()
+		world.mu.Lock()
+		state := world.states[db.id]
+		world.mu.Unlock()
+		if state == "" {
+			state = "ready"
+		}
+		switch {
+		case isUp && last != role+state:
+			value, err := json.Marshal(map[string]any{
+				"service": db.group.name, "address": db.address, "zone": db.zone, "version": "v1", "slots": slotCount,
+				"state": state, "warmupLeftMs": 0, "dbRole": role, "seq": seq, "born": db.born,
+			})
+			if err == nil {
+				world.store.Tree.Set("servers/"+db.id, value)
+			}
+			last, silent = role+state, time.Time{}
+		case !isUp && silent.IsZero():
+			silent = time.Now()
+		case !isUp && last != "" && time.Since(silent) > 3*heartbeat:
+			world.store.Tree.Remove("servers/" + db.id)
+			last = ""
+		}
+		select {
+		case <-world.done:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// start starts the platform, the databases and the machines.
+func (world *world) start(routes []route) error {
+	if err := world.configure(7, routes); err != nil {
+		return err
+	}
+	handlers := map[string]http.Handler{storePort: world.store, cloudPort: http.HandlerFunc(world.failover)}
+	for port, handler := range handlers {
+		listener, err := net.Listen("tcp4", world.platformIP()+":"+port)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+		world.servers = append(world.servers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	for _, group := range world.groups {
+		go group.replicate()
+		for _, db := range group.databases {
+			if err := db.start(); err != nil {
+				return err
+			}
+			go world.register(db)
+		}
+	}
+	for i := range 5 {
+		node := &node{world: world, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: fmt.Sprintf("127.%d.1.%d", world.net, i+1)}
+		world.nodes = append(world.nodes, node)
+		if err := node.start(zones[i%len(zones)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failover answers POST /failover.
+func (world *world) failover(writer http.ResponseWriter, request *http.Request) {
+	var order struct{ Service, ID string }
+	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	world.record("failover %s %s holder %s token %s", order.Service, order.ID, request.Header.Get("X-Lease-Holder"), request.Header.Get("X-Fencing-Token"))
+	for _, group := range world.groups {
+		if group.name == order.Service && group.promote(order.ID) {
+			return
+		}
+	}
+	writer.WriteHeader(http.StatusConflict)
+}
+
+// start starts the machine's process by the command of the deploy file.
+func (node *node) start(zone string) error {
+	world := node.world
+	settings := []string{
+		"nodeName=" + node.name, "role=door", "machineClass=front", "serves=front", "ip=" + node.ip, "zone=" + zone, "region=amba",
+		"listen.front=" + node.ip + ":" + frontPort, "listen.ready=" + node.ip + ":" + readyPort, "internalPorts=7440,7455",
+		"bootstrap=true", "limits.cpuShare=0.608", "limits.cores=1", fmt.Sprintf("limits.memoryMb=%d", memoryMb), "limits.maxFds=6300",
+		"limits.linkMbps=1500.0", "discovery=platform", "entry=vip", "heartbeatMs=1200",
+		"contracts=base,drain,config,cost,recover,sql,platform", "bounds.contactMs=4000",
+		fmt.Sprintf("bounds.drainMs=%d", drainMs), fmt.Sprintf("bounds.graceS=%d", graceS), "bounds.lossSlackMs=200",
+		"bounds.configApplyMs=3000", "bounds.requireFencing=false", "platform.address=" + world.platformIP() + ":" + storePort,
+		"platform.form=kv", "cloud.address=" + world.platformIP() + ":" + cloudPort, "cloud.duties=failover",
+	}
+	node.settings = filepath.Join(world.dir, node.name+".conf")
+	if err := os.WriteFile(node.settings, []byte(strings.Join(settings, "\n")+"\n"), 0o600); err != nil {
+		return err
+	}
+	logFile, err := os.Create(filepath.Join(world.dir, node.name+".log"))
+	if err != nil {
+		return err
+	}
+	node.command = exec.Command(world.program)
+	node.command.Env = []string{"BRAMLEYDOOR_SETTINGS=" + node.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + world.dir}
+	node.command.Stdout, node.command.Stderr = logFile, logFile
+	node.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := node.command.Start(); err != nil {
+		return err
+	}
+	node.exited = make(chan struct{})
+	go func() {
+		_ = node.command.Wait()
+		_ = logFile.Close()
+		close(node.exited)
+	}()
+	return nil
+}
+
+func (node *node) front() string { return node.ip + ":" + frontPort }
+
+// stop ends all processes and servers, and writes record.txt.
+func (world *world) stop(path string) error {
+	close(world.done)
+	for _, node := range world.nodes {
+		if node.command != nil && node.command.Process != nil {
+			_ = node.command.Process.Kill()
+			<-node.exited
+		}
+	}
+	for _, server := range world.servers {
+		_ = server.Close()
+	}
+	for _, group := range world.groups {
+		for _, db := range group.databases {
+			db.crash()
+		}
+	}
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	return os.WriteFile(path, []byte(strings.Join(world.lines, "\n")+"\n"), 0o600)
+}
