--- a/review/standin3/database.go
+++ b/review/standin3/database.go
@@ -102,6 +102,20 @@
 	return shortWork
 }
 
+// bigRow is a DATAROW message of the largest size, 1 MiB with its end.
+var bigRow = "DATAROW " + strings.Repeat("x", 1<<20-len("DATAROW \r\n")) + "\r\n"
+
+// bigRows is how many rows of the largest size a READ returns: an item named rows-N-... has N.
+func bigRows(text string) int {
+	_, rest, ok := strings.Cut(text, "READ rows-")
+	if !ok {
+		return 0
+	}
+	count, _, _ := strings.Cut(rest, "-")
+	number, _ := strconv.Atoi(count)
+	return number
+}
+
 func newGroup(world *world, name string, syncReplicas int) *group {
 	group := &group{world: world, name: name, sync: syncReplicas, newest: 1}
 	for i := range 3 {
@@ -309,6 +323,15 @@
 			return
 		}
 		rows, proof, failure := s.run(parts[1], parts[2])
+		output := bufio.NewWriterSize(conn, 1<<16)
+		for range bigRows(parts[2]) {
+			if _, err := output.WriteString(bigRow); err != nil {
+				return
+			}
+		}
+		if err := output.Flush(); err != nil {
+			return
+		}
 		var answer strings.Builder
 		for _, row := range rows {
 			answer.WriteString("DATAROW " + row + "\r\n")
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/fakekv"
@@ -47,9 +46,14 @@
 type node struct {
 	world    *world
 	name, ip string
-	settings string
-	command  *exec.Cmd
-	exited   chan struct{}
+	zone     string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	// overLimit counts the processes that were ended since they had used more than memoryMb.
+	overLimit int
+	peakMb    int
 }
 
 // record adds a line to record.txt.
@@ -172,9 +176,9 @@
 		}
 	}
 	for i := range 5 {
-		node := &node{world: world, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: fmt.Sprintf("127.%d.1.%d", world.net, i+1)}
+		node := &node{world: world, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: fmt.Sprintf("127.%d.1.%d", world.net, i+1), zone: zones[i%len(zones)]}
 		world.nodes = append(world.nodes, node)
-		if err := node.start(zones[i%len(zones)]); err != nil {
+		if err := node.start(); err != nil {
 			return err
 		}
 	}
@@ -198,8 +202,8 @@
 }
 
 // start starts the machine's process by the command of the deploy file.
-func (node *node) start(zone string) error {
-	world := node.world
+func (node *node) start() error {
+	world, zone := node.world, node.zone
 	settings := []string{
 		"nodeName=" + node.name, "role=door", "machineClass=front", "serves=front", "ip=" + node.ip, "zone=" + zone, "region=amba",
 		"listen.front=" + node.ip + ":" + frontPort, "listen.ready=" + node.ip + ":" + readyPort, "internalPorts=7440,7455",
@@ -210,40 +214,92 @@
 		"bounds.configApplyMs=3000", "bounds.requireFencing=false", "platform.address=" + world.platformIP() + ":" + storePort,
 		"platform.form=kv", "cloud.address=" + world.platformIP() + ":" + cloudPort, "cloud.duties=failover",
 	}
-	node.settings = filepath.Join(world.dir, node.name+".conf")
-	if err := os.WriteFile(node.settings, []byte(strings.Join(settings, "\n")+"\n"), 0o600); err != nil {
+	path := filepath.Join(world.dir, node.name+".conf")
+	if err := os.WriteFile(path, []byte(strings.Join(settings, "\n")+"\n"), 0o600); err != nil {
 		return err
 	}
-	logFile, err := os.Create(filepath.Join(world.dir, node.name+".log"))
+	logFile, err := os.OpenFile(filepath.Join(world.dir, node.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	node.command = exec.Command(world.program)
-	node.command.Env = []string{"BRAMLEYDOOR_SETTINGS=" + node.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + world.dir}
-	node.command.Stdout, node.command.Stderr = logFile, logFile
-	node.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := node.command.Start(); err != nil {
+	command, exited := exec.Command(world.program), make(chan struct{})
+	command.Env = []string{"BRAMLEYDOOR_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + world.dir}
+	command.Stdout, command.Stderr = logFile, logFile
+	if err := command.Start(); err != nil {
 		return err
 	}
-	node.exited = make(chan struct{})
+	node.mu.Lock()
+	node.command, node.exited = command, exited
+	node.mu.Unlock()
 	go func() {
-		_ = node.command.Wait()
+		_ = command.Wait()
 		_ = logFile.Close()
-		close(node.exited)
+		close(exited)
 	}()
 	return nil
 }
 
+// usedMb returns the resident memory of the machine's process.
+func (node *node) usedMb() int {
+	node.mu.Lock()
+	pid := node.command.Process.Pid
+	node.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
+			return kilobytes >> 10
+		}
+	}
+	return 0
+}
+
+// limitMemory ends the process whenever it exceeds memoryMb, as the platform does, and starts it
+// again, until the world ends.
+func (node *node) limitMemory() {
+	for {
+		select {
+		case <-node.world.done:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		used := node.usedMb()
+		node.mu.Lock()
+		node.peakMb = max(node.peakMb, used)
+		command, exited := node.command, node.exited
+		node.mu.Unlock()
+		if used <= memoryMb {
+			continue
+		}
+		node.world.record("%s uses %d MB, more than memoryMb = %d: its process is killed", node.name, used, memoryMb)
+		_ = command.Process.Kill()
+		<-exited
+		node.mu.Lock()
+		node.overLimit++
+		node.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		if err := node.start(); err != nil {
+			node.world.record("%s could not be started: %v", node.name, err)
+			return
+		}
+	}
+}
+
 func (node *node) front() string { return node.ip + ":" + frontPort }
 
 // stop ends all processes and servers, and writes record.txt.
 func (world *world) stop(path string) error {
 	close(world.done)
 	for _, node := range world.nodes {
-		if node.command != nil && node.command.Process != nil {
+		node.mu.Lock()
+		if node.command != nil {
 			_ = node.command.Process.Kill()
 			<-node.exited
 		}
+		node.mu.Unlock()
 	}
 	for _, server := range world.servers {
 		_ = server.Close()
