--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -24,7 +24,7 @@
 	heartbeat                          = 1200 * time.Millisecond
 )
 
-var zones = []string{"constitucion", "retiro", "once", "lacroze"}
+var zones = []string{"attica-a", "attica-b", "attica-c", "attica-d"}
 
 // world is a small deployment: five machines, the platform and the databases.
 type world struct {
@@ -205,7 +205,7 @@
 func (node *node) start() error {
 	world, zone := node.world, node.zone
 	settings := []string{
-		"nodeName=" + node.name, "role=door", "machineClass=front", "serves=front", "ip=" + node.ip, "zone=" + zone, "region=amba",
+		"nodeName=" + node.name, "role=door", "machineClass=front", "serves=front", "ip=" + node.ip, "zone=" + zone, "region=attica",
 		"listen.front=" + node.ip + ":" + frontPort, "listen.ready=" + node.ip + ":" + readyPort, "internalPorts=7440,7455",
 		"bootstrap=true", "limits.cpuShare=0.608", "limits.cores=1", fmt.Sprintf("limits.memoryMb=%d", memoryMb), "limits.maxFds=6300",
 		"limits.linkMbps=1500.0", "discovery=platform", "entry=vip", "heartbeatMs=1200",
