--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review3 ./review/standin3
+go build -o target/review3 ./review/standin3/platform
--- a/review/standin3/consumer.go
+++ b/review/standin3/platform/consumer.go
@@ -56,14 +56,6 @@
 
 // ask sends a request and reads its answer within the consumer's time budget.
 func (consumer *consumer) ask(id, text string, budget time.Duration) (answer, error) {
-	var rows []string
-	found, err := consumer.askEach(id, text, budget, func(row string) { rows = append(rows, row) })
-	found.Rows = rows
-	return found, err
-}
-
-// askEach is ask that passes each row on.
-func (consumer *consumer) askEach(id, text string, budget time.Duration, onRow func(row string)) (answer, error) {
 	var found answer
 	_ = consumer.conn.SetDeadline(time.Now().Add(budget))
 	if _, err := consumer.conn.Write([]byte("QUERY " + id + " " + text + "\r\n")); err != nil {
@@ -77,7 +69,7 @@
 		keyword, rest, _ := strings.Cut(line, " ")
 		switch keyword {
 		case "DATAROW":
-			onRow(rest)
+			found.Rows = append(found.Rows, rest)
 		case "COMPLETE":
 			found.Proof = rest
 		case "ERROR":
@@ -89,10 +81,4 @@
 	}
 }
 
-// askRows is ask for an answer with many rows, which are only counted.
-func (consumer *consumer) askRows(id, text string, budget time.Duration) (count int, found answer, err error) {
-	found, err = consumer.askEach(id, text, budget, func(string) { count++ })
-	return count, found, err
-}
-
 func (consumer *consumer) close() { _ = consumer.conn.Close() }
--- a/review/standin3/database.go
+++ b/review/standin3/platform/database.go
@@ -56,6 +56,30 @@
 	newest    uint64
 	runs      []*run
 	proofs    int
+	// onLead is called, with mu held, when a promotion takes effect.
+	onLead func(db *database)
+}
+
+// primary returns the leader of the newest term.
+func (group *group) primary() *database {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	for _, db := range group.databases {
+		if db.leads && db.term == group.newest {
+			return db
+		}
+	}
+	return nil
+}
+
+// has reports whether the log has a write of an item. group.mu must be held.
+func (db *database) has(item string) bool {
+	for _, entry := range db.log {
+		if _, ok := entry.data[item]; ok {
+			return true
+		}
+	}
+	return false
 }
 
 // database is one database, which speaks the wire protocol.
@@ -102,20 +126,6 @@
 	return shortWork
 }
 
-// bigRow is a DATAROW message of the largest size, 1 MiB with its end.
-var bigRow = "DATAROW " + strings.Repeat("x", 1<<20-len("DATAROW \r\n")) + "\r\n"
-
-// bigRows is how many rows of the largest size a READ returns: an item named rows-N-... has N.
-func bigRows(text string) int {
-	_, rest, ok := strings.Cut(text, "READ rows-")
-	if !ok {
-		return 0
-	}
-	count, _, _ := strings.Cut(rest, "-")
-	number, _ := strconv.Atoi(count)
-	return number
-}
-
 func newGroup(world *world, name string, syncReplicas int) *group {
 	group := &group{world: world, name: name, sync: syncReplicas, newest: 1}
 	for i := range 3 {
@@ -255,6 +265,9 @@
 		return
 	}
 	group.newest++
+	if group.onLead != nil {
+		group.onLead(db)
+	}
 	for _, other := range group.databases {
 		if other.leads && other != db {
 			go func() {
@@ -323,15 +336,6 @@
 			return
 		}
 		rows, proof, failure := s.run(parts[1], parts[2])
-		output := bufio.NewWriterSize(conn, 1<<16)
-		for range bigRows(parts[2]) {
-			if _, err := output.WriteString(bigRow); err != nil {
-				return
-			}
-		}
-		if err := output.Flush(); err != nil {
-			return
-		}
 		var answer strings.Builder
 		for _, row := range rows {
 			answer.WriteString("DATAROW " + row + "\r\n")
--- a/review/standin3/main.go
+++ b/review/standin3/platform/main.go
@@ -12,7 +12,7 @@
 
 // cases are the script cases by name. Each returns the breaks that it saw.
 var cases = map[string]func(world *world, isTrouble bool) ([]string, error){
-	"rows": rowsCase,
+	"late": lateCase,
 }
 
 func main() {
--- a/review/standin3/world.go
+++ b/review/standin3/platform/world.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleydoor/bramleydoor/fakekv"
@@ -36,6 +37,12 @@
 	done         chan struct{}
 	servers      []*http.Server
 	began        time.Time
+	// slowCalls is how long the platform takes before it acts on a failover call. onCall is called
+	// with the database that a call names.
+	slowCalls atomic.Int64
+	onCall    func(id string)
+	// breaks is guarded by the mutex of the group that it concerns.
+	breaks []string
 
 	mu     sync.Mutex
 	lines  []string
@@ -51,9 +58,6 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	// overLimit counts the processes that were ended since they had used more than memoryMb.
-	overLimit int
-	peakMb    int
 }
 
 // record adds a line to record.txt.
@@ -193,6 +197,10 @@
 		return
 	}
 	world.record("failover %s %s holder %s token %s", order.Service, order.ID, request.Header.Get("X-Lease-Holder"), request.Header.Get("X-Fencing-Token"))
+	if world.onCall != nil {
+		world.onCall(order.ID)
+	}
+	time.Sleep(time.Duration(world.slowCalls.Load()))
 	for _, group := range world.groups {
 		if group.name == order.Service && group.promote(order.ID) {
 			return
@@ -239,55 +247,6 @@
 	return nil
 }
 
-// usedMb returns the resident memory of the machine's process.
-func (node *node) usedMb() int {
-	node.mu.Lock()
-	pid := node.command.Process.Pid
-	node.mu.Unlock()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(status)) {
-		var kilobytes int
-		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
-			return kilobytes >> 10
-		}
-	}
-	return 0
-}
-
-// limitMemory ends the process whenever it exceeds memoryMb, as the platform does, and starts it
-// again, until the world ends.
-func (node *node) limitMemory() {
-	for {
-		select {
-		case <-node.world.done:
-			return
-		case <-time.After(10 * time.Millisecond):
-		}
-		used := node.usedMb()
-		node.mu.Lock()
-		node.peakMb = max(node.peakMb, used)
-		command, exited := node.command, node.exited
-		node.mu.Unlock()
-		if used <= memoryMb {
-			continue
-		}
-		node.world.record("%s uses %d MB, more than memoryMb = %d: its process is killed", node.name, used, memoryMb)
-		_ = command.Process.Kill()
-		<-exited
-		node.mu.Lock()
-		node.overLimit++
-		node.mu.Unlock()
-		time.Sleep(300 * time.Millisecond)
-		if err := node.start(); err != nil {
-			node.world.record("%s could not be started: %v", node.name, err)
-			return
-		}
-	}
-}
-
 func (node *node) front() string { return node.ip + ":" + frontPort }
 
 // stop ends all processes and servers, and writes record.txt.
