--- a/review/standin3/platform/late.go
+++ b/review/standin3/platform/late.go
@@ -84,6 +84,9 @@
 	mu.Unlock()
 	group.mu.Lock()
 	defer group.mu.Unlock()
+	for _, run := range group.runs {
+		world.record("%s ran %s %s at %.3f: commit %s, %s", run.Database, run.ID, run.Text, run.At.Sub(world.began).Seconds(), run.Commit, run.Outcome)
+	}
 	return world.breaks, nil
 }
 
@@ -121,7 +124,9 @@
 			}
 			count++
 			id, item := newID(), fmt.Sprintf("k%d-%d", number, count)
+			world.record("sent %s WRITE %s to %s", id, item, node.name)
 			reply, askErr := session.ask(id, "WRITE "+item+" 1", 2500*time.Millisecond)
+			world.record("answer to %s: code %q, proof %q, connection %v", id, reply.Code, reply.Proof, askErr)
 			switch {
 			case askErr != nil:
 				err = askErr
@@ -131,7 +136,7 @@
 			default:
 				time.Sleep(200 * time.Millisecond)
 			}
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(40 * time.Millisecond)
 		}
 		select {
 		case <-stop:
