--- a/review/standin3/platform/main.go
+++ b/review/standin3/platform/main.go
@@ -14,8 +14,9 @@
 
 // cases are the script cases by name. Each returns the breaks that it saw.
 var cases = map[string]func(world *world, isTrouble bool) ([]string, error){
-	"late": lateCase,
-	"sets": setsCase,
+	"late":   lateCase,
+	"sets":   setsCase,
+	"revive": reviveCase,
 }
 
 func main() {
--- a/review/standin3/platform/world.go
+++ b/review/standin3/platform/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	storePort, cloudPort               = "7600", "7601"
 	graceS, drainMs                    = 6, 7000
 	memoryMb                           = 414
+	nodeCount                          = 5
 	heartbeat                          = 1200 * time.Millisecond
 )
 
@@ -43,6 +45,10 @@
 	// with the database that a call names.
 	slowCalls atomic.Int64
 	onCall    func(id string)
+	// onStoreCall is called before the store handles a machine's call; it returns false if it has
+	// answered the call. onFailover is called with each failover call.
+	onStoreCall func(node int, writer http.ResponseWriter, request *http.Request) bool
+	onFailover  func(service, holder string, token uint64)
 	// breaks is guarded by the mutex of the group that it concerns.
 	breaks []string
 
@@ -54,6 +60,7 @@
 // node is one machine with its process.
 type node struct {
 	world    *world
+	number   int
 	name, ip string
 	zone     string
 
@@ -88,6 +95,19 @@
 
 func (world *world) platformIP() string { return fmt.Sprintf("127.%d.3.1", world.net) }
 
+// storeIP is the address at which a machine finds the store. Each machine has its own, so that the
+// store can tell whose call it is.
+func (world *world) storeIP(node int) string { return fmt.Sprintf("127.%d.3.%d", world.net, 11+node) }
+
+// serveStore returns the store's handler for a machine.
+func (world *world) serveStore(node int) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if world.onStoreCall == nil || world.onStoreCall(node, writer, request) {
+			world.store.ServeHTTP(writer, request)
+		}
+	})
+}
+
 // route is a route of the desired state.
 type route struct {
 	Name      string `json:"name"`
@@ -100,11 +120,17 @@
 	Staleness int    `json:"maxStalenessMs,omitempty"`
 }
 
-// configure writes a desired state.
+// configure writes a desired state, with the services that a route names.
 func (world *world) configure(version int, routes []route) error {
+	isNamed := make(map[string]bool, len(routes))
+	for _, route := range routes {
+		isNamed[route.Service] = true
+	}
 	services := make([]map[string]any, 0, len(world.groups))
 	for _, group := range world.groups {
-		services = append(services, map[string]any{"name": group.name, "maxConns": maxConns, "syncReplicas": group.sync})
+		if isNamed[group.name] {
+			services = append(services, map[string]any{"name": group.name, "maxConns": maxConns, "syncReplicas": group.sync})
+		}
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": services, "limits": map[string]any{"txIdleMs": 3000},
@@ -162,9 +188,12 @@
 	if err := world.configure(7, routes); err != nil {
 		return err
 	}
-	handlers := map[string]http.Handler{storePort: world.store, cloudPort: http.HandlerFunc(world.failover)}
-	for port, handler := range handlers {
-		listener, err := net.Listen("tcp4", world.platformIP()+":"+port)
+	handlers := map[string]http.Handler{world.platformIP() + ":" + cloudPort: http.HandlerFunc(world.failover)}
+	for i := range nodeCount {
+		handlers[world.storeIP(i)+":"+storePort] = world.serveStore(i)
+	}
+	for address, handler := range handlers {
+		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return err
 		}
@@ -181,8 +210,8 @@
 			go world.register(db)
 		}
 	}
-	for i := range 5 {
-		node := &node{world: world, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: fmt.Sprintf("127.%d.1.%d", world.net, i+1), zone: zones[i%len(zones)]}
+	for i := range nodeCount {
+		node := &node{world: world, number: i, name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: fmt.Sprintf("127.%d.1.%d", world.net, i+1), zone: zones[i%len(zones)]}
 		world.nodes = append(world.nodes, node)
 		if err := node.start(); err != nil {
 			return err
@@ -202,6 +231,9 @@
 	if world.onCall != nil {
 		world.onCall(order.ID)
 	}
+	if token, err := strconv.ParseUint(request.Header.Get("X-Fencing-Token"), 10, 64); err == nil && world.onFailover != nil {
+		world.onFailover(order.Service, request.Header.Get("X-Lease-Holder"), token)
+	}
 	time.Sleep(time.Duration(world.slowCalls.Load()))
 	for _, group := range world.groups {
 		if group.name == order.Service && group.promote(order.ID) {
@@ -221,7 +253,7 @@
 		"limits.linkMbps=1500.0", "discovery=platform", "entry=vip", "heartbeatMs=1200",
 		"contracts=base,drain,config,cost,recover,sql,platform", "bounds.contactMs=4000",
 		fmt.Sprintf("bounds.drainMs=%d", drainMs), fmt.Sprintf("bounds.graceS=%d", graceS), "bounds.lossSlackMs=200",
-		"bounds.configApplyMs=3000", "bounds.requireFencing=false", "platform.address=" + world.platformIP() + ":" + storePort,
+		"bounds.configApplyMs=3000", "bounds.requireFencing=false", "platform.address=" + world.storeIP(node.number) + ":" + storePort,
 		"platform.form=kv", "cloud.address=" + world.platformIP() + ":" + cloudPort, "cloud.duties=failover",
 	}
 	path := filepath.Join(world.dir, node.name+".conf")
