--- a/review/standin3/platform/revive.go
+++ b/review/standin3/platform/revive.go
@@ -135,7 +135,8 @@
 	if isTrouble {
 		world.record("the store rejects the reads of %s, which leads", first.name)
 	}
-	time.Sleep(300 * time.Millisecond)
+	// A watch that waits may still tell the leader.
+	time.Sleep(1600 * time.Millisecond)
 	if err := world.configure(8, many); err != nil {
 		return nil, err
 	}
